--- /dev/null
+++ b/crates/core/src/admission/refusal.rs
@@ -0,0 +1,71 @@
+//! Why a request was not taken, and when its caller may come back.
+
+use std::time::Duration;
+
+/// Wait after which another daemon or a later moment may serve the caller.
+const SOON: Duration = Duration::from_millis(250);
+/// Wait for a store or targets that are away; they return within seconds.
+const LATER: Duration = Duration::from_secs(1);
+
+value! {
+    /// Why a request was not taken. It has not run in any case.
+    pub enum Refusal {
+        /// No configuration is known yet.
+        NoConfiguration,
+        /// The configuration may have changed since this daemon last heard of it.
+        StaleConfiguration,
+        /// No route takes the path.
+        NoRoute,
+        /// The key is missing or unknown.
+        UnknownKey,
+        /// The service has no target in use.
+        NoTarget,
+        /// No target could be reached.
+        Unreachable,
+        /// All targets rejected it, or the retries of the service are used up.
+        Busy,
+        /// The time left is too short for any answer.
+        TooLate,
+        /// This daemon is about to stop.
+        Stopping,
+    }
+}
+
+impl Refusal {
+    /// A short name for logs and metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::StaleConfiguration => "stale_configuration",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::NoTarget => "no_target",
+            Self::Unreachable => "unreachable",
+            Self::Busy => "busy",
+            Self::TooLate => "too_late",
+            Self::Stopping => "stopping",
+        }
+    }
+
+    /// HTTP status of the refusal.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::NoRoute => 404,
+            Self::UnknownKey => 401,
+            _ => 503,
+        }
+    }
+
+    /// When to come back; none if that would not help.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NoRoute | Self::UnknownKey | Self::TooLate => None,
+            Self::Stopping => Some(Duration::ZERO),
+            Self::Busy | Self::Unreachable | Self::StaleConfiguration => Some(SOON),
+            Self::NoConfiguration | Self::NoTarget => Some(LATER),
+        }
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -13,6 +13,12 @@
 pub type TargetId = CompactString;
 /// Name of a pool of targets.
 pub type PoolId = CompactString;
+/// Name of a service that routes lead to.
+pub type ServiceId = CompactString;
+/// Number that a daemon gives to one run of a target when it first hears of it; never reused.
+pub type TargetKey = u64;
+/// Version of the routing configuration; grows by uneven steps.
+pub type ConfigVersion = u64;
 /// Name of a workspace.
 pub type WorkspaceId = CompactString;
 /// Name of a profile.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 #[macro_use]
 mod derives;
 
+pub mod admission;
 pub mod answer;
 pub mod change;
 pub mod chat_index;
@@ -23,6 +24,7 @@
 pub mod lease;
 pub mod limits;
 pub mod load_bound;
+pub mod membership;
 pub mod message;
 pub mod peers;
 pub mod placement;
@@ -30,8 +32,10 @@
 pub mod request;
 pub mod retry;
 pub mod revision;
+pub mod routing;
 pub mod settings;
 pub mod store;
+pub mod stream;
 pub mod suspects;
 pub mod table;
 pub mod targets;
--- /dev/null
+++ b/crates/core/src/membership/mod.rs
@@ -0,0 +1,9 @@
+//! Who takes part: the targets that the store lists, and how fresh that knowledge is.
+
+pub mod directory;
+pub mod entry;
+pub mod freshness;
+
+pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
+pub use entry::{TargetEntry, TargetState};
+pub use freshness::Freshness;
--- /dev/null
+++ b/crates/core/src/routing/choice.rs
@@ -0,0 +1,324 @@
+//! Picks the target of a request.
+//!
+//! A request that shares parts of its prompt goes to the home of its longest shared part, which
+//! every daemon works out alike. It goes to a later home when the first is above its bound, cannot
+//! be reached, or when the part draws so much of the traffic that one target cannot carry it. All
+//! other requests go where least is in flight.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Moment;
+use crate::ids::{FailureDomain, ServiceId, TargetKey};
+use crate::membership::{Directory, KnownTarget};
+use crate::routing::homes::home_order;
+use crate::routing::part_index::PartIndex;
+use crate::routing::popularity::Popularity;
+
+/// Kept free below the load bound for requests of other daemons that are not seen yet.
+const BOUND_MARGIN: f64 = 2.0;
+/// Share of an even load per target that one part may bring before it gets a second home.
+const LOAD_PER_HOME: f64 = 1.0;
+/// Requests from which on the shares of parts are trusted.
+const MIN_SAMPLE: f64 = 12.0;
+/// Requests more that a target of another failure domain must have less, to be preferred.
+const DOMAIN_WORTH: f64 = 1.0;
+
+value! {
+    /// A part of a prompt.
+    pub struct PromptPart {
+        /// Name of the part; the same text has the same name.
+        pub id: u64,
+        /// Length.
+        pub tokens: u32,
+    }
+
+    /// Load that a target may have, against the mean of its service.
+    pub struct LoadBound {
+        /// Multiple of the mean, in percent.
+        pub percent: u32,
+        /// Requests beside the multiple.
+        pub extra: u32,
+    }
+
+    /// Why a target was chosen.
+    pub enum Reason {
+        /// It is the home of the request's shared part.
+        Home,
+        /// It is a further home of a part that draws much traffic.
+        FurtherHome,
+        /// The homes before it could not take the request.
+        Spilled,
+        /// It has the least in flight.
+        LeastLoaded,
+    }
+
+    /// Why no target was chosen.
+    pub enum NoTarget {
+        /// The service has no target that may get requests.
+        NoneInUse,
+        /// All that may get requests were tried or cannot be reached.
+        NoneReachable,
+    }
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Service.
+    pub service: &'a ServiceId,
+    /// Parts of the prompt, in order; empty for plain services. The last is the request's own.
+    pub parts: &'a [PromptPart],
+    /// Hash of the request, which spreads requests of equal standing.
+    pub request: u64,
+    /// Targets that the request was sent to before.
+    pub tried: &'a [TargetKey],
+}
+
+/// The target of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// Target.
+    pub target: TargetKey,
+    /// Why.
+    pub reason: Reason,
+    /// Target that keeps parts of the prompt which the chosen one lacks.
+    pub fetch_from: Option<TargetKey>,
+    /// Requests in flight at the target, as far as is known.
+    pub load: f64,
+    /// Requests that it may have in flight.
+    pub bound: f64,
+}
+
+/// Picks targets and keeps what that takes.
+#[derive(Debug)]
+pub struct Chooser {
+    domain: FailureDomain,
+    bound: LoadBound,
+    popularity: BTreeMap<ServiceId, Popularity>,
+    parts: PartIndex,
+}
+
+struct Candidate<'a> {
+    target: &'a KnownTarget,
+    load: f64,
+    is_usable: bool,
+    is_sound: bool,
+}
+
+impl Chooser {
+    /// A chooser for a daemon in `domain`.
+    #[must_use]
+    pub fn new(domain: FailureDomain, bound: LoadBound) -> Self {
+        Self {
+            domain,
+            bound,
+            popularity: BTreeMap::new(),
+            parts: PartIndex::default(),
+        }
+    }
+
+    /// Forgets what a target kept.
+    pub fn forget(&mut self, target: TargetKey) {
+        self.parts.forget(target);
+    }
+
+    /// Notes that a request with these parts went to a target.
+    pub fn note_sent(&mut self, now: Moment, parts: &[PromptPart], target: TargetKey) {
+        for part in shared(parts) {
+            self.parts.note(now, part.id, target);
+        }
+    }
+
+    /// Picks a target.
+    ///
+    /// # Errors
+    /// [`NoTarget`] when there is none to send the request to.
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        directory: &Directory,
+        demand: &Demand<'_>,
+    ) -> Result<Choice, NoTarget> {
+        let candidates = candidates(now, directory, demand);
+        if candidates.is_empty() {
+            return Err(NoTarget::NoneInUse);
+        }
+        let bound = self.load_bound(&candidates);
+        let shared_part = shared(demand.parts).last();
+        let choice = match shared_part {
+            Some(part) => self.choose_home(now, directory, &candidates, demand, (part, bound)),
+            None => self.choose_least(&candidates, demand, bound),
+        };
+        choice.ok_or(NoTarget::NoneReachable)
+    }
+
+    fn choose_home(
+        &mut self,
+        now: Moment,
+        directory: &Directory,
+        candidates: &[Candidate<'_>],
+        demand: &Demand<'_>,
+        (part, bound): (&PromptPart, f64),
+    ) -> Option<Choice> {
+        let names = candidates.iter().map(|one| one.target.entry.id.as_str());
+        let order = home_order(part.id, names);
+        let homes = self.homes_wanted(now, demand, part, candidates.len());
+        let fits = |position: &&usize| {
+            let one = &candidates[**position];
+            one.is_usable && one.is_sound && one.load < bound
+        };
+        let cost = |position: &usize| self.cost(&candidates[*position]);
+        let near = order[..homes].iter().filter(fits);
+        let chosen = near
+            .min_by(|left, right| cost(left).total_cmp(&cost(right)))
+            .or_else(|| order.iter().find(fits))
+            .copied()
+            .or_else(|| least_loaded(candidates))?;
+        let one = &candidates[chosen];
+        let reason = match order.iter().position(|position| *position == chosen) {
+            Some(0) => Reason::Home,
+            Some(rank) if rank < homes => Reason::FurtherHome,
+            _ => Reason::Spilled,
+        };
+        let first_home = candidates[order[0]].target;
+        Some(Choice {
+            target: one.target.key,
+            fetch_from: self.fetch_source(now, directory, demand.parts, one.target, first_home),
+            reason,
+            load: one.load,
+            bound,
+        })
+    }
+
+    fn choose_least(
+        &self,
+        candidates: &[Candidate<'_>],
+        demand: &Demand<'_>,
+        bound: f64,
+    ) -> Option<Choice> {
+        let names = candidates.iter().map(|one| one.target.entry.id.as_str());
+        let order = home_order(demand.request, names);
+        let is_fit = |position: &&usize| {
+            let one = &candidates[**position];
+            one.is_usable && one.is_sound
+        };
+        let cost = |position: &usize| self.cost(&candidates[*position]);
+        let chosen = order
+            .iter()
+            .filter(is_fit)
+            .min_by(|left, right| cost(left).total_cmp(&cost(right)))
+            .copied()
+            .or_else(|| least_loaded(candidates))?;
+        Some(Choice {
+            target: candidates[chosen].target.key,
+            reason: Reason::LeastLoaded,
+            fetch_from: None,
+            load: candidates[chosen].load,
+            bound,
+        })
+    }
+
+    /// Load, with what it costs to leave the failure domain.
+    fn cost(&self, candidate: &Candidate<'_>) -> f64 {
+        let is_near = candidate.target.entry.domain == self.domain;
+        candidate.load + if is_near { 0.0 } else { DOMAIN_WORTH }
+    }
+
+    /// Homes that a part needs, from its share of the traffic.
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    fn homes_wanted(
+        &mut self,
+        now: Moment,
+        demand: &Demand<'_>,
+        part: &PromptPart,
+        targets: usize,
+    ) -> usize {
+        let popularity = self.popularity.entry(demand.service.clone()).or_default();
+        let share = popularity.count(now, part.id);
+        if popularity.sample_size(now) < MIN_SAMPLE {
+            return 1;
+        }
+        let homes = (share * targets as f64 / LOAD_PER_HOME).ceil() as usize;
+        homes.clamp(1, targets)
+    }
+
+    /// A target that keeps a longer start of the prompt than the chosen one, as far as is known.
+    fn fetch_source(
+        &self,
+        now: Moment,
+        directory: &Directory,
+        parts: &[PromptPart],
+        chosen: &KnownTarget,
+        first_home: &KnownTarget,
+    ) -> Option<TargetKey> {
+        for part in shared(parts).iter().rev() {
+            if self.parts.holds(now, part.id, chosen.key) {
+                return None;
+            }
+            let mut holders = self.parts.holders(now, part.id);
+            if let Some(holder) = holders.find(|holder| can_give(now, directory, *holder)) {
+                return Some(holder);
+            }
+        }
+        let is_home = first_home.key == chosen.key;
+        let may_give = !is_home && can_give(now, directory, first_home.key);
+        may_give.then_some(first_home.key)
+    }
+
+    /// The greatest load that a target may have before requests go elsewhere.
+    #[expect(clippy::cast_precision_loss)]
+    fn load_bound(&self, candidates: &[Candidate<'_>]) -> f64 {
+        let total: f64 = candidates.iter().map(|one| one.load).sum();
+        let mean = total / candidates.len() as f64;
+        let multiple = f64::from(self.bound.percent) / 100.0;
+        let bound = multiple * mean + f64::from(self.bound.extra) - BOUND_MARGIN;
+        bound.max(1.0)
+    }
+}
+
+/// The parts that other requests may share: all but the last.
+fn shared(parts: &[PromptPart]) -> &[PromptPart] {
+    match parts {
+        [] | [_] => parts,
+        [shared @ .., _] => shared,
+    }
+}
+
+fn can_give(now: Moment, directory: &Directory, holder: TargetKey) -> bool {
+    directory
+        .get(holder)
+        .is_some_and(|target| target.breaker.is_closed(now))
+}
+
+fn least_loaded(candidates: &[Candidate<'_>]) -> Option<usize> {
+    let usable = |position: &usize| candidates[*position].is_usable;
+    (0..candidates.len())
+        .filter(usable)
+        .min_by(|left, right| candidates[*left].load.total_cmp(&candidates[*right].load))
+}
+
+fn candidates<'a>(
+    now: Moment,
+    directory: &'a Directory,
+    demand: &Demand<'a>,
+) -> Vec<Candidate<'a>> {
+    let targets: Vec<&KnownTarget> = directory.in_use(demand.service).collect();
+    let fresh = targets
+        .iter()
+        .filter_map(|target| target.load.fresh_others(now));
+    let (sum, count) = fresh.fold((0_u32, 0_u32), |(sum, count), one| (sum + one, count + 1));
+    let typical_others = f64::from(sum) / f64::from(count.max(1));
+    let is_reached =
+        |target: &KnownTarget| target.breaker.is_closed(now) && !demand.tried.contains(&target.key);
+    let to_candidate = |target: &'a KnownTarget| Candidate {
+        load: target.load.estimate(now, typical_others),
+        is_usable: is_reached(target),
+        is_sound: !target.breaker.is_failing(now),
+        target,
+    };
+    targets.into_iter().map(to_candidate).collect()
+}
--- /dev/null
+++ b/crates/core/src/routing/homes.rs
@@ -0,0 +1,18 @@
+//! The order in which targets are homes of a shared part, the same at every daemon that knows the
+//! same targets, without a message between them.
+
+use crate::placement::rendezvous_score;
+
+/// Weight of a target that is as large as all others, in percent.
+const EVEN_WEIGHT_PERCENT: u32 = 100;
+
+/// Positions of `names`, the first home first.
+#[must_use]
+pub fn home_order<'a>(key: u64, names: impl Iterator<Item = &'a str>) -> Vec<usize> {
+    let mut scored: Vec<(usize, f64)> = names
+        .map(|name| rendezvous_score(key, name, EVEN_WEIGHT_PERCENT))
+        .enumerate()
+        .collect();
+    scored.sort_by(|left, right| right.1.total_cmp(&left.1));
+    scored.into_iter().map(|(position, _)| position).collect()
+}
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,16 @@
+//! Where a request goes: its route, the targets that may take it, and the one that does.
+
+pub mod choice;
+pub mod config;
+pub mod homes;
+pub mod load;
+pub mod part_index;
+pub mod popularity;
+pub mod route;
+
+pub use choice::{Choice, Chooser, Demand, LoadBound, NoTarget, PromptPart, Reason};
+pub use config::{CallerLimits, EngineProfile, RoutingConfig, Service, Workspace};
+pub use load::{LoadView, ReportedLoad};
+pub use part_index::PartIndex;
+pub use popularity::Popularity;
+pub use route::{Backend, Route, RouteKind};
--- /dev/null
+++ b/crates/edge/src/context.rs
@@ -0,0 +1,209 @@
+//! What all parts of the daemon share. Everything runs on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
+use lapismoor_core::membership::{Directory, Freshness};
+use lapismoor_core::retry::ServiceBudget;
+use lapismoor_core::routing::{Chooser, ReportedLoad, RoutingConfig};
+use lapismoor_core::{Clock, Moment};
+use tokio_util::sync::CancellationToken;
+
+use crate::dialect::Dialect;
+use crate::http::Connections;
+use crate::metrics::Metrics;
+use crate::settings::EdgeSettings;
+
+/// The daemon.
+pub struct Edge {
+    /// Settings.
+    pub settings: EdgeSettings,
+    /// Counts suspended time.
+    pub clock: Clock,
+    /// Translates headers.
+    pub dialect: Dialect,
+    /// What is known and was decided.
+    pub state: RefCell<State>,
+    /// Idle connections to targets.
+    pub connections: Connections,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Cancelled when the planned stop begins.
+    pub stopping: CancellationToken,
+    /// Requests of callers in flight.
+    pub in_flight: Cell<usize>,
+    /// Served requests since the last one logged.
+    pub unlogged: Cell<u32>,
+}
+
+/// What is known and was decided.
+#[derive(Debug)]
+pub struct State {
+    /// The configuration in force. Invariant: its version never falls.
+    pub config: Option<Rc<RoutingConfig>>,
+    /// Targets.
+    pub directory: Directory,
+    /// Whether the targets were listed once.
+    pub is_listed: bool,
+    /// Picks targets.
+    pub chooser: Chooser,
+    /// Age of what is known of the configuration.
+    pub freshness: Freshness,
+    /// Invariant: sorted by service.
+    budgets: Vec<(ServiceId, ServiceBudget)>,
+}
+
+impl Edge {
+    /// A daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: EdgeSettings, clock: Clock, dialect: Dialect) -> Rc<Self> {
+        let state = State {
+            config: None,
+            directory: Directory::default(),
+            is_listed: false,
+            chooser: Chooser::new(settings.domain.clone(), settings.limits.load_bound.clone()),
+            freshness: Freshness::new(settings.limits.revoke_within),
+            budgets: Vec::new(),
+        };
+        let connections =
+            Connections::new(settings.tuning.target_idle, settings.tuning.idle_per_target);
+        Rc::new(Self {
+            settings,
+            clock,
+            dialect,
+            state: RefCell::new(state),
+            connections,
+            metrics: Metrics::default(),
+            stopping: CancellationToken::new(),
+            in_flight: Cell::new(0),
+            unlogged: Cell::new(0),
+        })
+    }
+
+    /// The current moment.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Rc<RoutingConfig>> {
+        self.state.borrow().config.clone()
+    }
+
+    /// Age of what is known of the configuration.
+    #[must_use]
+    pub fn config_age(&self) -> Option<Duration> {
+        self.state.borrow().freshness.age(self.now())
+    }
+
+    /// Whether callers should be led here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        let knows_enough = state.config.is_some() && state.is_listed;
+        knows_enough && !state.freshness.is_cut_off(self.now()) && !self.stopping.is_cancelled()
+    }
+
+    /// Counts a request that a caller sent for a service.
+    pub fn count_request(&self, service: &ServiceId) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.count_request(now));
+    }
+
+    /// Takes a retry from the budget of a service; false when there is none.
+    pub fn take_retry(&self, service: &ServiceId) -> bool {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.take(now, ASSUMED_DAEMONS))
+    }
+
+    /// Name and address of a target.
+    #[must_use]
+    pub fn address_of(&self, target: TargetKey) -> Option<(TargetId, SocketAddr)> {
+        let state = self.state.borrow();
+        let known = state.directory.get(target)?;
+        Some((known.entry.id.clone(), known.entry.address))
+    }
+
+    /// When a target last sent anything.
+    #[must_use]
+    pub fn heard_at(&self, target: TargetKey) -> Moment {
+        let state = self.state.borrow();
+        let known = state.directory.get(target);
+        known.map(|known| known.heard_at).unwrap_or_default()
+    }
+
+    /// Age of what a target last told of its load.
+    #[must_use]
+    pub fn load_age(&self, target: TargetKey) -> Option<Duration> {
+        let state = self.state.borrow();
+        state.directory.get(target)?.load.report_age(self.now())
+    }
+
+    /// Notes what a target told of its load.
+    pub fn target_told_load(&self, target: TargetKey, load: &ReportedLoad) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.load.reported(now, load);
+        }
+    }
+
+    /// Notes an answer of a target.
+    pub fn target_answered(&self, target: TargetKey, is_failure: bool) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.breaker.answered(now, is_failure);
+            known.heard_at = now;
+        }
+    }
+
+    /// Notes bytes of a target.
+    pub fn target_heard(&self, target: TargetKey) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.heard_at = now;
+        }
+    }
+
+    /// Notes that a target could not be reached or broke off.
+    pub fn target_unreachable(&self, target: TargetKey, cause: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let Some(known) = state.directory.get_mut(target) else {
+            return;
+        };
+        let was_closed = known.breaker.is_closed(now);
+        let pause = known.breaker.unreachable(now);
+        if was_closed {
+            log::warn!(
+                target:% = known.entry.id,
+                pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+                cause;
+                "target_paused"
+            );
+        }
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceId,
+        change: impl FnOnce(&mut ServiceBudget) -> T,
+    ) -> T {
+        let budgets = &mut self.state.borrow_mut().budgets;
+        let found = budgets.binary_search_by(|(known, _)| known.cmp(service));
+        let position = found.unwrap_or_else(|position| {
+            let budget = ServiceBudget::new(self.settings.limits.budget.clone());
+            budgets.insert(position, (service.clone(), budget));
+            position
+        });
+        change(&mut budgets[position].1)
+    }
+}
+
+/// Daemons that are taken to share the fleet's slack of retries: a fleet of today is smaller, and
+/// in a larger one the ratio of each daemon's own traffic goes far beyond the slack.
+const ASSUMED_DAEMONS: usize = 16;
--- /dev/null
+++ b/crates/edge/src/http/connection.rs
@@ -0,0 +1,172 @@
+//! One connection to a target.
+
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use actix_codec::Framed;
+use actix_http::body::BodySize;
+use actix_http::error::ParseError;
+use actix_http::h1::{ClientCodec, Message};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead};
+use bytes::Bytes;
+use snafu::ResultExt;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+use super::answer::AnswerBody;
+use super::error::{ConnectSnafu, EncodeSnafu, ExchangeError};
+
+/// Time for which sent bytes may stay unacknowledged; a path that goes silent shows within it.
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle time before a path is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Answers to earlier requests that are skipped before the connection is given up.
+const MAX_FOREIGN: u32 = 3;
+
+/// A connection on which no request is in flight.
+pub struct Connection {
+    framed: Box<Framed<TcpStream, ClientCodec>>,
+}
+
+impl Connection {
+    /// Connects.
+    ///
+    /// # Errors
+    /// [`ExchangeError`] that says that nothing was sent.
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, ExchangeError> {
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+        let Ok(connected) = connecting.await else {
+            return Err(ExchangeError::ConnectTimeout);
+        };
+        let stream = connected.context(ConnectSnafu)?;
+        watch_path(&stream).context(ConnectSnafu)?;
+        Ok(Self {
+            framed: Box::new(Framed::new(stream, ClientCodec::default())),
+        })
+    }
+
+    pub(super) fn from_framed(framed: Box<Framed<TcpStream, ClientCodec>>) -> Self {
+        Self { framed }
+    }
+
+    /// Whether nothing came since the last answer. Bytes that nobody asked for, or a close, make
+    /// the connection useless.
+    pub fn is_quiet(&mut self) -> bool {
+        if !self.framed.is_read_buf_empty() {
+            return false;
+        }
+        let mut context = Context::from_waker(Waker::noop());
+        Pin::new(&mut *self.framed)
+            .next_item(&mut context)
+            .is_pending()
+    }
+
+    /// Sends a request and waits for the head of its answer. `is_own` tells the answer from late
+    /// ones to earlier requests, which are skipped.
+    ///
+    /// # Errors
+    /// [`ExchangeError`]; unless it says otherwise, the target may have run the request.
+    pub async fn exchange(
+        mut self,
+        head: RequestHead,
+        body: Bytes,
+        is_own: impl Fn(&ResponseHead) -> bool,
+    ) -> Result<(ResponseHead, AnswerBody), ExchangeError> {
+        self.write(head, body)?;
+        for _ in 0..=MAX_FOREIGN {
+            let head = self.read_head().await?;
+            if head.status.is_informational() {
+                continue;
+            }
+            let is_wanted = is_own(&head);
+            let mut body = AnswerBody::new(&head, self.framed);
+            if is_wanted {
+                return Ok((head, body));
+            }
+            while body.next().await?.is_some() {}
+            self = body.into_connection().ok_or(ExchangeError::CutOff)?;
+        }
+        Err(ExchangeError::Foreign)
+    }
+
+    fn write(&mut self, head: RequestHead, body: Bytes) -> Result<(), ExchangeError> {
+        let has_no_body = body.is_empty() && head.method == actix_http::Method::GET;
+        let size = if has_no_body {
+            BodySize::None
+        } else {
+            BodySize::Sized(body.len() as u64)
+        };
+        let head = RequestHeadType::Owned(head);
+        let mut framed = Pin::new(&mut *self.framed);
+        framed
+            .as_mut()
+            .write(Message::Item((head, size)))
+            .context(EncodeSnafu)?;
+        if !body.is_empty() {
+            let chunk = Message::Chunk(Some(body));
+            framed.as_mut().write(chunk).context(EncodeSnafu)?;
+        }
+        Ok(())
+    }
+
+    /// Reads while it writes: a target may answer before it has read the body, and still reads the
+    /// rest.
+    async fn read_head(&mut self) -> Result<ResponseHead, ExchangeError> {
+        let mut is_flushed = false;
+        let head = poll_fn(|cx| {
+            if !is_flushed {
+                is_flushed = self.poll_flush(cx)?.is_ready();
+            }
+            match Pin::new(&mut *self.framed).next_item(cx) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(None) => Poll::Ready(Err(ExchangeError::CutOff)),
+                Poll::Ready(Some(item)) => Poll::Ready(item.map_err(parse_error)),
+            }
+        })
+        .await?;
+        if !is_flushed {
+            poll_fn(|cx| self.poll_flush(cx)).await?;
+        }
+        Ok(head)
+    }
+
+    fn poll_flush(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), ExchangeError>> {
+        type Outgoing = Message<(RequestHeadType, BodySize)>;
+        let framed = Pin::new(&mut *self.framed);
+        match framed.flush::<Outgoing>(cx) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Ok(())) => Poll::Ready(Ok(())),
+            Poll::Ready(Err(source)) => Poll::Ready(Err(ExchangeError::Broken { source })),
+        }
+    }
+}
+
+impl std::fmt::Debug for Connection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Connection({:?})", self.framed.io_ref().peer_addr())
+    }
+}
+
+fn parse_error(error: ParseError) -> ExchangeError {
+    match error {
+        ParseError::Io(source) => ExchangeError::Broken { source },
+        other => ExchangeError::Malformed {
+            reason: other.to_string(),
+        },
+    }
+}
+
+/// Makes a path that goes silent show as a broken connection.
+fn watch_path(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_AFTER)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,23 @@
+//! The daemon between callers and targets: it takes requests, has `lapismoor-core` decide where
+//! they go, and answers for their outcome. What callers, targets and the store speak comes from an
+//! adapter as a [`Dialect`] and a [`StoreClient`].
+
+mod clock;
+mod context;
+pub mod dialect;
+pub mod http;
+mod logging;
+mod metrics;
+mod serve;
+mod server;
+mod settings;
+mod start;
+mod store;
+
+pub use clock::boot_clock;
+pub use context::Edge;
+pub use dialect::{AnswerMarks, AttemptHeaders, Dialect, Envelope, EnvelopeError};
+pub use logging::start as start_logging;
+pub use settings::{EdgeSettings, FleetLimits, Tuning};
+pub use start::{StartError, run};
+pub use store::{Changes, Fact, Scope, StoreClient, StoreError, StoreRevision};
--- /dev/null
+++ b/crates/edge/src/logging.rs
@@ -0,0 +1,152 @@
+//! Logs as JSON lines on standard output, through a bounded queue: a reader that does not read
+//! costs lines, never a request's time.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::Map;
+
+/// Lines that wait to be written at most; about a second of the heaviest logging.
+const QUEUE_LINES: usize = 2_048;
+/// Bytes written at once at most.
+const BATCH_BYTES: usize = 32 * 1024;
+
+/// Why logging did not start.
+#[derive(Debug, snafu::Snafu)]
+pub enum LoggingError {
+    /// The writer did not start.
+    #[snafu(display("cannot start the log writer: {source}; check the limits of the process"))]
+    Writer {
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Logging was started before.
+    #[snafu(display("logging was started before; start the daemon once in a process"))]
+    Started {
+        /// Why.
+        source: log::SetLoggerError,
+    },
+}
+
+/// Starts logging for a daemon to `output`.
+///
+/// # Errors
+/// [`LoggingError`] when it cannot start.
+pub fn start(
+    daemon: &str,
+    level: log::LevelFilter,
+    output: impl Write + Send + 'static,
+) -> Result<(), LoggingError> {
+    let queue = LineQueue::start(output)?;
+    let daemon = daemon.to_owned();
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("lapismoor_edge", level)
+        .level_for("lapismoor_adapter", level)
+        .level_for("lapismoord", level)
+        .chain(fern::Output::call(move |record| {
+            queue.push(line(&daemon, record));
+        }))
+        .apply()
+        .map_err(|source| LoggingError::Started { source })
+}
+
+/// Lines on their way to the output.
+struct LineQueue {
+    lines: Mutex<SyncSender<String>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineQueue {
+    fn start(output: impl Write + Send + 'static) -> Result<Self, LoggingError> {
+        let (lines, waiting) = sync_channel(QUEUE_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let for_writer = Arc::clone(&dropped);
+        std::thread::Builder::new()
+            .name("log".into())
+            .spawn(move || write_lines(&waiting, &for_writer, output))
+            .map_err(|source| LoggingError::Writer { source })?;
+        Ok(Self {
+            lines: Mutex::new(lines),
+            dropped,
+        })
+    }
+
+    fn push(&self, line: String) {
+        let lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) = lines.try_send(line) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_lines(waiting: &Receiver<String>, dropped: &AtomicU64, mut output: impl Write) {
+    while let Ok(first) = waiting.recv() {
+        let mut batch = first;
+        while batch.len() < BATCH_BYTES {
+            match waiting.try_recv() {
+                Ok(line) => batch.push_str(&line),
+                Err(_) => break,
+            }
+        }
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            batch.push_str(&dropped_line(lost));
+        }
+        // Nothing can be told about an output that does not take the telling.
+        if output.write_all(batch.as_bytes()).is_err() {
+            dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn dropped_line(count: u64) -> String {
+    let line = serde_json::json!({
+        "level": "WARN",
+        "event": "log_lines_dropped",
+        "count": count,
+        "time_ms": now_ms(),
+    });
+    format!("{line}\n")
+}
+
+/// Collects the fields of a record.
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (_, Some(flag)) => flag.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+fn line(daemon: &str, record: &log::Record<'_>) -> String {
+    let mut fields = Fields(Map::new());
+    if record.key_values().visit(&mut fields).is_err() {
+        fields.0.insert("fields".into(), "unreadable".into());
+    }
+    let mut fields = fields.0;
+    fields.insert("time_ms".into(), now_ms().into());
+    fields.insert("level".into(), record.level().as_str().into());
+    fields.insert("daemon".into(), daemon.into());
+    fields.insert("event".into(), record.args().to_string().into());
+    let mut line = serde_json::Value::Object(fields).to_string();
+    line.push('\n');
+    line
+}
+
+/// Time of day; a clock before 1970 counts as 1970.
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map(|since| since.as_millis()).unwrap_or_default();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,99 @@
+//! Counters and histograms by OpenTelemetry, scraped in the Prometheus text format.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the latency histograms, in seconds: from a plain call to the longest stream.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// Counters and histograms of a daemon.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    served: Histogram<f64>,
+    refused: Counter<u64>,
+    failed: Counter<u64>,
+    attempts_failed: Counter<u64>,
+    /// Connections opened to targets.
+    pub connections_opened: Counter<u64>,
+    /// Calls to the store, by scope and outcome.
+    pub store_calls: Counter<u64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build();
+        let provider = match exporter {
+            Ok(exporter) => SdkMeterProvider::builder().with_reader(exporter).build(),
+            Err(error) => {
+                log::error!(error:%; "metrics_not_exported");
+                SdkMeterProvider::default()
+            }
+        };
+        let meter = provider.meter("lapismoor");
+        let served = meter
+            .f64_histogram("lapismoor.request.duration")
+            .with_unit("s")
+            .with_description("Time from a request to the end of its answer")
+            .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+            .build();
+        let counter = |name, description| {
+            let builder = meter.u64_counter(name);
+            builder.with_description(description).build()
+        };
+        Self {
+            served,
+            refused: counter("lapismoor.request.refused", "Requests refused, by reason"),
+            failed: counter("lapismoor.request.failed", "Requests failed, by cause"),
+            attempts_failed: counter("lapismoor.attempt.failed", "Attempts failed, by cause"),
+            connections_opened: counter(
+                "lapismoor.target.connections",
+                "Connections opened to targets",
+            ),
+            store_calls: counter("lapismoor.store.calls", "Calls to the store, by outcome"),
+            registry,
+            _provider: provider,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request that was served.
+    pub fn served(&self, took: Duration) {
+        self.served.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: &'static str) {
+        self.refused.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a failed request.
+    pub fn failed(&self, cause: &'static str) {
+        self.failed.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a failed attempt.
+    pub fn attempt_failed(&self, cause: &'static str) {
+        self.attempts_failed
+            .add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// All metrics as text.
+    ///
+    /// # Errors
+    /// [`prometheus::Error`] when a metric cannot be written as text.
+    pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/serve/attempt.rs
@@ -0,0 +1,341 @@
+//! One attempt: a request sent to one target, up to the head of the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{RequestHead, ResponseHead, header};
+use bytes::{Bytes, BytesMut};
+use lapismoor_core::Moment;
+use lapismoor_core::ids::{TargetId, TargetKey};
+use lapismoor_core::retry::{AnswerKind, AttemptEnd, judge_answer};
+use lapismoor_core::routing::Choice;
+use tokio::time::sleep;
+
+use super::job::Job;
+use crate::context::Edge;
+use crate::dialect::{AnswerMarks, AttemptHeaders};
+use crate::http::{AnswerBody, Connection, ExchangeError};
+
+/// Longest body of a failure that is kept to be passed on, in bytes.
+const MAX_FAILURE_BYTES: usize = 1 << 20;
+
+/// Counts a request as in flight at a target.
+pub(crate) struct TargetGuard {
+    edge: Rc<Edge>,
+    target: TargetKey,
+}
+
+impl TargetGuard {
+    fn new(edge: &Rc<Edge>, target: TargetKey) -> Self {
+        if let Some(known) = edge.state.borrow_mut().directory.get_mut(target) {
+            known.load.sent();
+        }
+        Self {
+            edge: Rc::clone(edge),
+            target,
+        }
+    }
+}
+
+impl Drop for TargetGuard {
+    fn drop(&mut self) {
+        let mut state = self.edge.state.borrow_mut();
+        if let Some(known) = state.directory.get_mut(self.target) {
+            known.load.ended();
+        }
+    }
+}
+
+/// An answer whose head is there.
+pub(crate) struct Answer {
+    pub target: TargetKey,
+    pub target_id: TargetId,
+    pub head: ResponseHead,
+    pub marks: AnswerMarks,
+    pub body: AnswerBody,
+    _guard: TargetGuard,
+}
+
+/// A whole failure of a target, to be passed on if nothing better comes.
+pub(crate) struct FailureAnswer {
+    pub head: ResponseHead,
+    pub body: Bytes,
+}
+
+/// An attempt that brought no answer to go on with.
+pub(crate) struct FailedAttempt {
+    pub end: AttemptEnd,
+    pub cause: &'static str,
+    pub answer: Option<FailureAnswer>,
+}
+
+impl FailedAttempt {
+    fn new(end: AttemptEnd, cause: &'static str) -> Self {
+        Self {
+            end,
+            cause,
+            answer: None,
+        }
+    }
+}
+
+/// Sends the request. `last_event` is the event after which a stream goes on.
+pub(crate) async fn run(
+    job: &Job,
+    choice: &Choice,
+    last_event: Option<u64>,
+) -> Result<Answer, FailedAttempt> {
+    let edge = &job.edge;
+    let Some((target_id, address)) = edge.address_of(choice.target) else {
+        return Err(FailedAttempt::new(AttemptEnd::NotSent, "target_forgotten"));
+    };
+    let guard = TargetGuard::new(edge, choice.target);
+    log_sent(job, choice, &target_id, last_event);
+    let connection = match connect(job, choice.target, address).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            edge.target_unreachable(choice.target, error.name());
+            return Err(FailedAttempt::new(AttemptEnd::NotSent, error.name()));
+        }
+    };
+    let head = request_head(job, choice, &target_id, last_event);
+    let is_own = |head: &ResponseHead| {
+        let id = (edge.dialect.read_answer)(head.headers()).request_id;
+        id.is_none_or(|id| id == job.envelope.id)
+    };
+    let exchange = connection.exchange(head, job.body.clone(), is_own);
+    let (head, body) = match wait(job, choice.target, exchange).await {
+        Ok(answer) => answer,
+        Err(Waited::Broken(error)) => return Err(broken(edge, choice.target, &error)),
+        Err(Waited::Silent) => {
+            edge.target_unreachable(choice.target, "silent");
+            return Err(FailedAttempt::new(AttemptEnd::Unknown, "target_silent"));
+        }
+        Err(Waited::Slow) => {
+            edge.target_answered(choice.target, true);
+            return Err(FailedAttempt::new(AttemptEnd::Unknown, "answer_late"));
+        }
+        Err(Waited::TimeUp) => {
+            return Err(FailedAttempt::new(AttemptEnd::Unknown, "time_up"));
+        }
+    };
+    let marks = (edge.dialect.read_answer)(head.headers());
+    let answer = Answer {
+        target: choice.target,
+        target_id,
+        head,
+        marks,
+        body,
+        _guard: guard,
+    };
+    judge(job, answer).await
+}
+
+async fn judge(job: &Job, mut answer: Answer) -> Result<Answer, FailedAttempt> {
+    let edge = &job.edge;
+    let marks = &answer.marks;
+    if let Some(load) = &marks.load {
+        edge.target_told_load(answer.target, load);
+    }
+    let is_encoded = answer.head.headers().contains_key(header::CONTENT_ENCODING);
+    let status = answer.head.status.as_u16();
+    let is_signed = marks.is_signed && !is_encoded;
+    let kind = judge_answer(status, is_signed, marks.is_not_run);
+    let is_failure = !matches!(kind, AnswerKind::Success | AnswerKind::Final);
+    edge.target_answered(answer.target, is_failure);
+    match kind {
+        AnswerKind::Success | AnswerKind::Final => Ok(answer),
+        AnswerKind::Untrusted => Err(FailedAttempt::new(AttemptEnd::Unknown, "answer_untrusted")),
+        AnswerKind::Rejected => {
+            let cause = if status == 421 {
+                "other_target"
+            } else {
+                "rejected"
+            };
+            if status == 421 {
+                edge.target_unreachable(answer.target, cause);
+            }
+            if collect(job, &mut answer, MAX_FAILURE_BYTES).await.is_ok() {
+                answer.give_back(edge);
+            }
+            Err(FailedAttempt::new(AttemptEnd::Rejected, cause))
+        }
+        AnswerKind::Failure => {
+            let body = collect(job, &mut answer, MAX_FAILURE_BYTES).await;
+            let mut failed = FailedAttempt::new(AttemptEnd::Failed, "target_failed");
+            if let Ok(body) = body {
+                failed.answer = Some(FailureAnswer {
+                    head: clone_head(&answer.head),
+                    body,
+                });
+                answer.give_back(edge);
+            } else {
+                failed.end = AttemptEnd::Unknown;
+            }
+            Err(failed)
+        }
+    }
+}
+
+impl Answer {
+    /// Keeps the connection for the next request, if the answer is whole.
+    pub(crate) fn give_back(self, edge: &Edge) {
+        if let Some(connection) = self.body.into_connection() {
+            let idle_limit = self.marks.idle_limit;
+            edge.connections
+                .put(edge.now(), self.target, connection, idle_limit);
+        }
+    }
+}
+
+/// Collects a body of `limit_bytes` at most, within the time of the request.
+pub(crate) async fn collect(
+    job: &Job,
+    answer: &mut Answer,
+    limit_bytes: usize,
+) -> Result<Bytes, ExchangeError> {
+    let reading = async {
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = answer.body.next().await? {
+            if whole.len() + bytes.len() > limit_bytes {
+                return Err(ExchangeError::Malformed {
+                    reason: "the body is too long".into(),
+                });
+            }
+            whole.extend_from_slice(&bytes);
+        }
+        Ok(whole.freeze())
+    };
+    let limited = tokio::time::timeout(job.time_left(), reading).await;
+    limited.unwrap_or(Err(ExchangeError::CutOff))
+}
+
+pub(crate) fn clone_head(head: &ResponseHead) -> ResponseHead {
+    let mut copy = ResponseHead::new(head.status);
+    copy.headers = head.headers.clone();
+    copy
+}
+
+/// A kept connection may have been closed by the target at the very moment of sending, and then
+/// nobody knows whether the request ran. What must not run twice gets a connection of its own.
+async fn connect(
+    job: &Job,
+    target: TargetKey,
+    address: std::net::SocketAddr,
+) -> Result<Connection, ExchangeError> {
+    let edge = &job.edge;
+    if job.route.is_repeatable()
+        && let Some(connection) = edge.connections.take(edge.now(), target)
+    {
+        return Ok(connection);
+    }
+    edge.metrics.connections_opened.add(1, &[]);
+    let timeout = edge.settings.tuning.connect_timeout.min(job.time_left());
+    Connection::open(address, timeout).await
+}
+
+enum Waited {
+    Broken(ExchangeError),
+    /// Nothing was heard of the target at all.
+    Silent,
+    /// The target lives, but this answer does not come.
+    Slow,
+    TimeUp,
+}
+
+/// Waits for an answer as long as that is better than to go elsewhere.
+async fn wait<T>(
+    job: &Job,
+    target: TargetKey,
+    exchange: impl Future<Output = Result<T, ExchangeError>>,
+) -> Result<T, Waited> {
+    let edge = &job.edge;
+    let sent_at = edge.now();
+    tokio::pin!(exchange);
+    loop {
+        let (wake_at, reason) = next_wake(job, target, sent_at);
+        let pause = wake_at.saturating_sub(edge.now());
+        tokio::select! {
+            result = &mut exchange => return result.map_err(Waited::Broken),
+            () = sleep(pause) => {}
+        }
+        let (due_at, _) = next_wake(job, target, sent_at);
+        if edge.now() >= due_at {
+            return Err(reason);
+        }
+    }
+}
+
+fn next_wake(job: &Job, target: TargetKey, sent_at: Moment) -> (Moment, Waited) {
+    if !job.may_go_elsewhere() {
+        return (job.until, Waited::TimeUp);
+    }
+    let tuning = &job.edge.settings.tuning;
+    let heard_at = job.edge.heard_at(target).max(sent_at);
+    let silent_at = heard_at + tuning.silence;
+    let slow_at = sent_at + job.route.aim * tuning.patience_aims;
+    if job.until <= silent_at.min(slow_at) {
+        (job.until, Waited::TimeUp)
+    } else if slow_at <= silent_at {
+        (slow_at, Waited::Slow)
+    } else {
+        (silent_at, Waited::Silent)
+    }
+}
+
+fn broken(edge: &Edge, target: TargetKey, error: &ExchangeError) -> FailedAttempt {
+    if error.is_not_sent() {
+        return FailedAttempt::new(AttemptEnd::NotSent, error.name());
+    }
+    edge.target_answered(target, true);
+    FailedAttempt::new(AttemptEnd::Unknown, error.name())
+}
+
+fn request_head(
+    job: &Job,
+    choice: &Choice,
+    target_id: &TargetId,
+    last_event: Option<u64>,
+) -> RequestHead {
+    let edge = &job.edge;
+    let mut head = RequestHead::default();
+    head.method = job.method.clone();
+    head.uri = job.uri.clone();
+    head.headers = job.headers.clone();
+    let fetch_from = choice.fetch_from.and_then(|source| edge.address_of(source));
+    let attempt = AttemptHeaders {
+        target: target_id,
+        workspace: job.workspace.as_deref(),
+        time_left: job.time_left(),
+        rank: job.route.is_sticky.then_some(job.rank),
+        last_event,
+        fetch_from: fetch_from.map(|(_, address)| address),
+    };
+    (edge.dialect.write_attempt)(&attempt, &mut head.headers);
+    head
+}
+
+fn log_sent(job: &Job, choice: &Choice, target_id: &TargetId, last_event: Option<u64>) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let age = job.edge.load_age(choice.target);
+    log::debug!(
+        request:% = job.envelope.id,
+        target:% = target_id,
+        service:% = job.service,
+        reason:? = choice.reason,
+        load = choice.load,
+        bound = choice.bound,
+        load_age_ms = age.map(millis),
+        fetch = choice.fetch_from.is_some(),
+        sends = job.progress.sends,
+        last_event,
+        time_left_ms = millis(job.time_left());
+        "sent"
+    );
+}
+
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/edge/src/serve/relay.rs
@@ -0,0 +1,123 @@
+//! Passes the events of a stream on. When the target breaks off, another one goes on after the
+//! last event that the caller got, if the route allows that.
+
+use std::io;
+
+use bytes::Bytes;
+use futures::Stream;
+use lapismoor_core::retry::{AttemptEnd, NextStep};
+use lapismoor_core::stream::EventSplitter;
+
+use super::answers;
+use super::attempt::{self, Answer, FailedAttempt};
+use super::job::Job;
+
+/// A stream between a target and a caller.
+pub(crate) struct Relay {
+    job: Job,
+    answer: Answer,
+    splitter: EventSplitter,
+}
+
+enum Step {
+    Events(Bytes),
+    End,
+}
+
+impl Relay {
+    pub(crate) fn new(job: Job, answer: Answer) -> Self {
+        let splitter = EventSplitter::resumed_after(job.envelope.last_event);
+        Self {
+            job,
+            answer,
+            splitter,
+        }
+    }
+
+    /// The events. An error breaks the caller's connection off, so that a stream which is not
+    /// whole never looks whole.
+    pub(crate) fn into_stream(self) -> impl Stream<Item = Result<Bytes, io::Error>> {
+        futures::stream::unfold(Some(self), |relay| async {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Step::Events(bytes)) => Some((Ok(bytes), Some(relay))),
+                Ok(Step::End) => {
+                    let target_id = relay.answer.target_id.clone();
+                    answers::log_served(&relay.job, &target_id, 200);
+                    relay.answer.give_back(&relay.job.edge);
+                    None
+                }
+                Err(cause) => {
+                    answers::log_broken_off(&relay.job, cause, relay.splitter.last_id());
+                    Some((Err(io::Error::other(cause)), None))
+                }
+            }
+        })
+    }
+
+    async fn next(&mut self) -> Result<Step, &'static str> {
+        loop {
+            match self.read().await {
+                Ok(step) => return Ok(step),
+                Err(cause) => self.resume(cause).await?,
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Result<Step, &'static str> {
+        loop {
+            let tuning = &self.job.edge.settings.tuning;
+            let wait = self.job.time_left().min(tuning.event_silence);
+            let patience = if self.job.may_go_elsewhere() {
+                wait
+            } else {
+                self.job.time_left()
+            };
+            let read = tokio::time::timeout(patience, self.answer.body.next()).await;
+            let bytes = match read {
+                Err(_) if self.job.time_left().is_zero() => return Err("time_up"),
+                Err(_) => {
+                    let edge = &self.job.edge;
+                    edge.target_unreachable(self.answer.target, "silent");
+                    return Err("target_silent");
+                }
+                Ok(Err(error)) => return Err(error.name()),
+                Ok(Ok(None)) if self.splitter.holds_part() => return Err("event_cut_off"),
+                Ok(Ok(None)) => return Ok(Step::End),
+                Ok(Ok(Some(bytes))) => bytes,
+            };
+            self.job.edge.target_heard(self.answer.target);
+            let events = self.splitter.push(&bytes).map_err(|_| "event_too_large")?;
+            if !events.is_empty() {
+                return Ok(Step::Events(events));
+            }
+        }
+    }
+
+    async fn resume(&mut self, cause: &'static str) -> Result<(), &'static str> {
+        self.splitter.drop_part();
+        let mut failed = FailedAttempt {
+            end: AttemptEnd::Unknown,
+            cause,
+            answer: None,
+        };
+        let mut target = self.answer.target;
+        loop {
+            let step = self.job.after(target, &failed.end);
+            answers::log_failed_attempt(&self.job, target, &failed, &step);
+            if step != NextStep::Retry {
+                return Err(cause);
+            }
+            let choice = self.job.choose().map_err(|_| cause)?;
+            target = choice.target;
+            match attempt::run(&self.job, &choice, self.splitter.last_id()).await {
+                Ok(answer) if answer.head.status.is_success() => {
+                    self.answer = answer;
+                    return Ok(());
+                }
+                Ok(_) => return Err("resume_refused"),
+                Err(error) => failed = error,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/server.rs
@@ -0,0 +1,81 @@
+//! Accepts connections of callers on the daemon's own thread.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::HttpService;
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, ServiceFactoryExt, map_config};
+use actix_web::body::MessageBody;
+use actix_web::dev::{AppConfig, ServiceRequest, ServiceResponse};
+use actix_web::{App, Error, rt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// Time for a caller to finish its headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for a caller to take the close of its connection.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a connection could not be accepted; descriptors may be free again then.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves `app` on `listener` until `stop` is cancelled; open connections go on.
+pub(crate) async fn serve<F, B>(
+    listener: TcpListener,
+    app: App<F>,
+    caller_idle: Duration,
+    stop: CancellationToken,
+) where
+    F: ServiceFactory<
+            ServiceRequest,
+            Config = (),
+            Response = ServiceResponse<B>,
+            Error = Error,
+            InitError = (),
+        > + 'static,
+    F::Future: 'static,
+    B: MessageBody + 'static,
+{
+    let app = map_config(app.into_factory(), |()| AppConfig::default());
+    let http = HttpService::build()
+        .keep_alive(caller_idle)
+        .client_request_timeout(HEADER_TIMEOUT)
+        .client_disconnect_timeout(CLOSE_TIMEOUT)
+        .h1_allow_half_closed(false)
+        .h1(app.map_err(|error| error.error_response()));
+    let Ok(service) = http.tcp().new_service(()).await else {
+        log::error!("http_service_not_started");
+        return;
+    };
+    let service = Rc::new(service);
+    while let Some((stream, peer)) = accept(&listener, &stop).await {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(peer:%, error:%; "caller_socket_option_failed");
+        }
+        let service = Rc::clone(&service);
+        rt::spawn(async move {
+            if let Err(error) = service.call(stream).await {
+                log::debug!(peer:%, error:%; "caller_connection_ended");
+            }
+        });
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    stop: &CancellationToken,
+) -> Option<(TcpStream, SocketAddr)> {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return None,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok(connection) => return Some(connection),
+            Err(error) => {
+                log::warn!(error:%; "accept_failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/settings.rs
@@ -0,0 +1,93 @@
+//! Settings of a daemon. The adapter fills in what it is told; the rest has defaults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lapismoor_core::ids::{DaemonId, FailureDomain};
+use lapismoor_core::retry::BudgetSettings;
+use lapismoor_core::routing::LoadBound;
+
+/// Settings of a daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EdgeSettings {
+    /// Name of the daemon.
+    pub daemon: DaemonId,
+    /// Failure domain that it stands in.
+    pub domain: FailureDomain,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for the balancer's question whether the daemon is ready.
+    pub ready_address: SocketAddr,
+    /// Address of the metrics.
+    pub metrics_address: SocketAddr,
+    /// Limits of the fleet.
+    pub limits: FleetLimits,
+    /// How the daemon works.
+    pub tuning: Tuning,
+}
+
+/// What the operators promise and the daemon keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetLimits {
+    /// A key that was taken away is refused after this; none if keys stay.
+    pub revoke_within: Option<Duration>,
+    /// A new configuration is in force after this.
+    pub config_within: Duration,
+    /// Load that a target may have.
+    pub load_bound: LoadBound,
+    /// Retries.
+    pub budget: BudgetSettings,
+    /// Time from SIGTERM to SIGKILL.
+    pub stop_grace: Duration,
+}
+
+/// How the daemon works.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tuning {
+    /// Time for a new connection to a target; a lost first packet is sent again only after a
+    /// second, and another target answers sooner.
+    pub connect_timeout: Duration,
+    /// Time without a byte from a target after which it is taken for gone.
+    pub silence: Duration,
+    /// Time without an event after which a stream goes on elsewhere.
+    pub event_silence: Duration,
+    /// Multiple of a route's aim after which a repeatable request goes elsewhere.
+    pub patience_aims: u32,
+    /// Idle time of a connection to a target that names no limit of its own.
+    pub target_idle: Duration,
+    /// Idle connections kept for one target.
+    pub idle_per_target: usize,
+    /// Idle time of a caller's connection.
+    pub caller_idle: Duration,
+    /// Time for which a stopping daemon takes requests until the balancer knows: two questions, a
+    /// second apart, and some.
+    pub stop_linger: Duration,
+    /// Part of the stop grace that is kept free, so that the process ends by itself.
+    pub stop_reserve: Duration,
+    /// Longest wait for changes in the store. Two fifths of the usual revocation bound: an age
+    /// below it never makes a daemon look cut off.
+    pub store_wait: Duration,
+    /// Time for an answer of the store, beside the wait.
+    pub store_timeout: Duration,
+    /// Served requests of which one is logged.
+    pub log_every: u32,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(250),
+            silence: Duration::from_secs(1),
+            event_silence: Duration::from_millis(1_200),
+            patience_aims: 3,
+            target_idle: Duration::from_secs(4),
+            idle_per_target: 32,
+            caller_idle: Duration::from_mins(2),
+            stop_linger: Duration::from_millis(2_500),
+            stop_reserve: Duration::from_millis(500),
+            store_wait: Duration::from_secs(2),
+            store_timeout: Duration::from_millis(700),
+            log_every: 32,
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/start.rs
@@ -0,0 +1,181 @@
+//! Puts a daemon together and runs it to its planned stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::web::Payload;
+use actix_web::{App, HttpRequest, HttpResponse, rt, web};
+use lapismoor_core::Clock;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+use crate::context::Edge;
+use crate::dialect::Dialect;
+use crate::serve;
+use crate::server;
+use crate::settings::EdgeSettings;
+use crate::store::{Scope, StoreClient, follow};
+
+/// Time between looks at what is due: lapsed entries, idle connections.
+const HOUSEKEEPING: Duration = Duration::from_millis(250);
+/// Time between looks at whether the last request ended, while stopping.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Why a daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address cannot be had.
+    #[snafu(display("cannot listen at {address} ({field}): {source}; free the port"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What it is for.
+        field: &'static str,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("cannot receive signals: {source}; check the limits of the process"))]
+    Signals {
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// Runs a daemon until SIGTERM or SIGINT and the planned stop that follows. Must run on a local
+/// task set, as `actix_web::rt::System` gives.
+///
+/// # Errors
+/// [`StartError`] when it cannot start.
+pub async fn run(
+    settings: EdgeSettings,
+    clock: Clock,
+    dialect: Dialect,
+    store: StoreClient,
+) -> Result<(), StartError> {
+    let edge = Edge::new(settings, clock, dialect);
+    let accepting = CancellationToken::new();
+    listen_callers(&edge, &accepting).await?;
+    listen_balancer(&edge).await?;
+    listen_metrics(&edge).await?;
+    rt::spawn(follow(
+        Rc::clone(&edge),
+        store.clone(),
+        Scope::Configuration,
+    ));
+    rt::spawn(follow(Rc::clone(&edge), store, Scope::Targets));
+    rt::spawn(keep_house(Rc::clone(&edge)));
+    log::info!(
+        caller_address:% = edge.settings.caller_address,
+        domain:% = edge.settings.domain;
+        "started"
+    );
+    wait_for_stop(&edge).await?;
+    stop(&edge, &accepting).await;
+    Ok(())
+}
+
+async fn listen_callers(edge: &Rc<Edge>, stop: &CancellationToken) -> Result<(), StartError> {
+    let listener = bind(edge.settings.caller_address, "caller_address").await?;
+    let for_requests = Rc::clone(edge);
+    let app = App::new().default_service(web::to(move |request: HttpRequest, payload: Payload| {
+        serve::serve(Rc::clone(&for_requests), request, payload)
+    }));
+    let idle = edge.settings.tuning.caller_idle;
+    rt::spawn(server::serve(listener, app, idle, stop.clone()));
+    Ok(())
+}
+
+async fn listen_balancer(edge: &Rc<Edge>) -> Result<(), StartError> {
+    let listener = bind(edge.settings.ready_address, "ready_address").await?;
+    let for_ready = Rc::clone(edge);
+    let app = App::new().route(
+        edge.dialect.ready_path,
+        web::get().to(move || {
+            let is_ready = for_ready.is_ready();
+            async move {
+                if is_ready {
+                    HttpResponse::Ok().finish()
+                } else {
+                    HttpResponse::ServiceUnavailable().finish()
+                }
+            }
+        }),
+    );
+    let idle = edge.settings.tuning.caller_idle;
+    rt::spawn(server::serve(listener, app, idle, CancellationToken::new()));
+    Ok(())
+}
+
+async fn listen_metrics(edge: &Rc<Edge>) -> Result<(), StartError> {
+    let listener = bind(edge.settings.metrics_address, "metrics_address").await?;
+    let for_metrics = Rc::clone(edge);
+    let app = App::new().route(
+        "/metrics",
+        web::get().to(move || {
+            let text = for_metrics.metrics.render();
+            async move {
+                match text {
+                    Ok(text) => HttpResponse::Ok().content_type("text/plain").body(text),
+                    Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+                }
+            }
+        }),
+    );
+    let idle = edge.settings.tuning.caller_idle;
+    rt::spawn(server::serve(listener, app, idle, CancellationToken::new()));
+    Ok(())
+}
+
+async fn bind(address: SocketAddr, field: &'static str) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.context(ListenSnafu { address, field })
+}
+
+async fn keep_house(edge: Rc<Edge>) {
+    loop {
+        tokio::time::sleep(HOUSEKEEPING).await;
+        let now = edge.now();
+        edge.connections.sweep(now);
+        let given_up = edge.state.borrow_mut().directory.sweep(now);
+        for id in given_up {
+            log::info!(target:% = id; "target_given_up");
+        }
+    }
+}
+
+async fn wait_for_stop(edge: &Edge) -> Result<(), StartError> {
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => log::info!("settings_kept"),
+        }
+    }
+    edge.stopping.cancel();
+    Ok(())
+}
+
+/// Takes requests until the balancer knows, then waits for those in flight.
+async fn stop(edge: &Edge, accepting: &CancellationToken) {
+    let tuning = &edge.settings.tuning;
+    let began = edge.now();
+    log::info!(in_flight = edge.in_flight.get() as u64; "stopping");
+    tokio::time::sleep(tuning.stop_linger).await;
+    let longest = edge
+        .settings
+        .limits
+        .stop_grace
+        .saturating_sub(tuning.stop_reserve);
+    while edge.in_flight.get() > 0 && edge.now().saturating_sub(began) < longest {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    accepting.cancel();
+    log::info!(in_flight = edge.in_flight.get() as u64; "stopped");
+}
--- a/crates/lapismoord/src/main.rs
+++ b/crates/lapismoord/src/main.rs
@@ -1,4 +1,6 @@
-//! The router daemon. All of it is in the library; this reads arguments and settings.
+//! The router daemon. All of it is in the libraries; this reads arguments and settings.
+
+mod platform;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -11,13 +13,13 @@
 #[bpaf(options, version)]
 struct Arguments {
     /// Settings, as JSON
-    #[bpaf(argument("FILE"))]
-    settings: PathBuf,
+    #[bpaf(argument("FILE"), optional)]
+    settings: Option<PathBuf>,
     #[bpaf(external, fallback(Command::Run))]
     command: Command,
 }
 
-#[derive(Debug, Clone, Copy, Bpaf)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Bpaf)]
 enum Command {
     /// Run the daemon until SIGTERM (the default)
     #[bpaf(command)]
@@ -25,6 +27,9 @@
     /// Check the settings and say whether they are valid
     #[bpaf(command)]
     Check,
+    /// Run the daemon on the users' platform, whose settings the environment names
+    #[bpaf(command)]
+    Platform,
 }
 
 /// Exit code for settings that are not valid.
@@ -32,7 +37,14 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    let settings = match Settings::read(&arguments.settings) {
+    if arguments.command == Command::Platform {
+        return platform::run(arguments.settings);
+    }
+    let Some(path) = arguments.settings else {
+        eprintln!("--settings FILE is missing; name the daemon's settings");
+        return ExitCode::from(INVALID_SETTINGS);
+    };
+    let settings = match Settings::read(&path) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
@@ -41,10 +53,10 @@
     };
     match arguments.command {
         Command::Check => {
-            println!("{} is valid", arguments.settings.display());
+            println!("{} is valid", path.display());
             ExitCode::SUCCESS
         }
-        Command::Run => run(settings),
+        Command::Run | Command::Platform => run(settings),
     }
 }
 
--- /dev/null
+++ b/crates/lapismoord/src/platform.rs
@@ -0,0 +1,40 @@
+//! Runs the daemon on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lapismoor_adapter::{SETTINGS_VARIABLE, SiteSettings};
+
+use crate::INVALID_SETTINGS;
+
+/// Runs the daemon with the settings at `path`, or those that the environment names.
+pub(crate) fn run(path: Option<PathBuf>) -> ExitCode {
+    let named = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(path) = path.or_else(named) else {
+        eprintln!("no settings; set {SETTINGS_VARIABLE} or pass --settings FILE");
+        return ExitCode::from(INVALID_SETTINGS);
+    };
+    let settings = match SiteSettings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(INVALID_SETTINGS);
+        }
+    };
+    let daemon = settings.edge.daemon.clone();
+    let logging = lapismoor_edge::start_logging(&daemon, log::LevelFilter::Info, std::io::stdout());
+    if let Err(error) = logging {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
+    let (settings, dialect, store) = lapismoor_adapter::parts(settings);
+    let running = lapismoor_edge::run(settings, lapismoor_edge::boot_clock(), dialect, store);
+    match actix::System::new().block_on(running) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(error:%; "not_started");
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
