Refuse requests late in a planned stop; split connections by share of the traffic

Change: StopPlan refuses new requests 2.5 s after SIGTERM; idle connections are limited to the daemon's share of a quarter of the target's connections, the share is worked out from what targets tell.

--- /dev/null
+++ b/crates/core/src/admission/stop_plan.rs
@@ -0,0 +1,50 @@
+//! What a daemon does from SIGTERM to its exit.
+//!
+//! The balancer still sends callers for a while, so that the daemon goes on taking requests. It
+//! then refuses new ones, which callers take elsewhere at once, and waits for those in flight.
+
+use std::time::Duration;
+
+use crate::clock::Moment;
+
+value! {
+    /// Times of a planned stop.
+    pub struct StopPlan {
+        /// How long requests are still taken: until the balancer has seen twice that the daemon is
+        /// not ready.
+        pub take_for: Duration,
+        /// When the process must have ended by itself.
+        pub exit_within: Duration,
+    }
+
+    /// What a daemon does.
+    pub enum StopPhase {
+        /// It takes requests; answers close their connections.
+        Taking,
+        /// It refuses requests and waits for those in flight.
+        Finishing,
+        /// It exits.
+        Exiting,
+    }
+}
+
+impl StopPlan {
+    /// The phase at `now` of a stop that began at `began`, with requests in flight.
+    #[must_use]
+    pub fn phase(&self, now: Moment, began: Moment, in_flight: usize) -> StopPhase {
+        let since = now.saturating_sub(began);
+        if since < self.take_for {
+            return StopPhase::Taking;
+        }
+        if in_flight == 0 || since >= self.exit_within {
+            return StopPhase::Exiting;
+        }
+        StopPhase::Finishing
+    }
+
+    /// Whether a request may still be taken.
+    #[must_use]
+    pub fn takes_requests(&self, now: Moment, began: Moment) -> bool {
+        now.saturating_sub(began) < self.take_for
+    }
+}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -3,7 +3,9 @@
 pub mod directory;
 pub mod entry;
 pub mod freshness;
+pub mod traffic_share;
 
 pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
 pub use entry::{TargetEntry, TargetState};
 pub use freshness::Freshness;
+pub use traffic_share::TrafficShare;
--- a/crates/core/src/retry/service_budget.rs
+++ b/crates/core/src/retry/service_budget.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
+use crate::membership::TrafficShare;
 
 /// Part of the allowed ratio that a daemon uses; the rest covers uneven windows between daemons.
 const USED_SHARE: f64 = 0.75;
@@ -48,10 +49,11 @@
         self.requests.push_back(now);
     }
 
-    /// Takes a retry; false when the window's are used up. `daemons` share the fleet's slack.
-    pub fn take(&mut self, now: Moment, daemons: usize) -> bool {
+    /// Takes a retry; false when the window's are used up. The daemon's `share` of the traffic is
+    /// its share of the fleet's slack.
+    pub fn take(&mut self, now: Moment, share: &TrafficShare) -> bool {
         self.forget(now);
-        if self.retries.len() >= self.allowed(daemons) {
+        if self.retries.len() >= self.allowed(share) {
             return false;
         }
         self.retries.push_back(now);
@@ -60,8 +62,8 @@
 
     /// Retries left in the window.
     #[must_use]
-    pub fn left(&self, daemons: usize) -> usize {
-        self.allowed(daemons).saturating_sub(self.retries.len())
+    pub fn left(&self, share: &TrafficShare) -> usize {
+        self.allowed(share).saturating_sub(self.retries.len())
     }
 
     #[expect(
@@ -69,10 +71,10 @@
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss
     )]
-    fn allowed(&self, daemons: usize) -> usize {
+    fn allowed(&self, share: &TrafficShare) -> usize {
         let ratio = f64::from(self.settings.ratio_percent) / 100.0;
         let earned = ratio * self.requests.len() as f64;
-        let slack = f64::from(self.settings.fleet_slack) / daemons.max(1) as f64;
+        let slack = share.of(self.settings.fleet_slack);
         (USED_SHARE * (earned + slack)) as usize
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -3,6 +3,7 @@
 pub mod choice;
 pub mod config;
 pub mod homes;
+pub mod idle_limit;
 pub mod load;
 pub mod part_index;
 pub mod popularity;
@@ -10,6 +11,7 @@
 
 pub use choice::{Choice, Chooser, Demand, LoadBound, NoTarget, PromptPart, Reason};
 pub use config::{CallerLimits, EngineProfile, RoutingConfig, Service, Workspace};
+pub use idle_limit::idle_limit;
 pub use load::{LoadView, ReportedLoad};
 pub use part_index::PartIndex;
 pub use popularity::Popularity;
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use lapismoor_core::admission::StopPlan;
 use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
-use lapismoor_core::membership::{Directory, Freshness};
+use lapismoor_core::membership::{Directory, Freshness, TrafficShare};
 use lapismoor_core::retry::ServiceBudget;
-use lapismoor_core::routing::{Chooser, ReportedLoad, RoutingConfig};
+use lapismoor_core::routing::{Chooser, ReportedLoad, RoutingConfig, idle_limit};
 use lapismoor_core::{Clock, Moment};
 use tokio_util::sync::CancellationToken;
 
@@ -33,6 +34,8 @@
     pub metrics: Metrics,
     /// Cancelled when the planned stop begins.
     pub stopping: CancellationToken,
+    /// When the planned stop began.
+    pub stopping_since: Cell<Option<Moment>>,
     /// Requests of callers in flight.
     pub in_flight: Cell<usize>,
     /// Served requests since the last one logged.
@@ -52,6 +55,8 @@
     pub chooser: Chooser,
     /// Age of what is known of the configuration.
     pub freshness: Freshness,
+    /// Share of the fleet's traffic.
+    pub share: TrafficShare,
     /// Invariant: sorted by service.
     budgets: Vec<(ServiceId, ServiceBudget)>,
 }
@@ -66,10 +71,10 @@
             is_listed: false,
             chooser: Chooser::new(settings.domain.clone(), settings.limits.load_bound.clone()),
             freshness: Freshness::new(settings.limits.revoke_within),
+            share: TrafficShare::default(),
             budgets: Vec::new(),
         };
-        let connections =
-            Connections::new(settings.tuning.target_idle, settings.tuning.idle_per_target);
+        let connections = Connections::new(settings.tuning.target_idle);
         Rc::new(Self {
             settings,
             clock,
@@ -78,6 +83,7 @@
             connections,
             metrics: Metrics::default(),
             stopping: CancellationToken::new(),
+            stopping_since: Cell::new(None),
             in_flight: Cell::new(0),
             unlogged: Cell::new(0),
         })
@@ -109,6 +115,26 @@
         knows_enough && !state.freshness.is_cut_off(self.now()) && !self.stopping.is_cancelled()
     }
 
+    /// Times of a planned stop.
+    #[must_use]
+    pub fn stop_plan(&self) -> StopPlan {
+        let tuning = &self.settings.tuning;
+        let grace = self.settings.limits.stop_grace;
+        StopPlan {
+            take_for: tuning.stop_linger,
+            exit_within: grace.saturating_sub(tuning.stop_reserve),
+        }
+    }
+
+    /// Whether new requests are taken.
+    #[must_use]
+    pub fn takes_requests(&self) -> bool {
+        let Some(since) = self.stopping_since.get() else {
+            return true;
+        };
+        self.stop_plan().takes_requests(self.now(), since)
+    }
+
     /// Counts a request that a caller sent for a service.
     pub fn count_request(&self, service: &ServiceId) {
         let now = self.now();
@@ -118,7 +144,8 @@
     /// Takes a retry from the budget of a service; false when there is none.
     pub fn take_retry(&self, service: &ServiceId) -> bool {
         let now = self.now();
-        self.with_budget(service, |budget| budget.take(now, ASSUMED_DAEMONS))
+        let share = self.state.borrow().share.clone();
+        self.with_budget(service, |budget| budget.take(now, &share))
     }
 
     /// Name and address of a target.
@@ -147,11 +174,25 @@
     /// Notes what a target told of its load.
     pub fn target_told_load(&self, target: TargetKey, load: &ReportedLoad) {
         let now = self.now();
-        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+        let mut state = self.state.borrow_mut();
+        if let Some(known) = state.directory.get_mut(target) {
             known.load.reported(now, load);
+            let own = known.load.own();
+            state.share.note(own, load.running + load.waiting);
         }
     }
 
+    /// Idle connections that may be kept to a target of a service.
+    #[must_use]
+    pub fn idle_limit(&self, service: &ServiceId) -> usize {
+        let Some(config) = self.config() else {
+            return 0;
+        };
+        let service = config.service(service);
+        let share = &self.state.borrow().share;
+        service.map_or(0, |service| idle_limit(service.max_connections, share))
+    }
+
     /// Notes an answer of a target.
     pub fn target_answered(&self, target: TargetKey, is_failure: bool) {
         let now = self.now();
@@ -203,7 +244,3 @@
         change(&mut budgets[position].1)
     }
 }
-
-/// Daemons that are taken to share the fleet's slack of retries: a fleet of today is smaller, and
-/// in a larger one the ratio of each daemon's own traffic goes far beyond the slack.
-const ASSUMED_DAEMONS: usize = 16;
--- a/crates/edge/src/http/connections.rs
+++ b/crates/edge/src/http/connections.rs
@@ -22,17 +22,15 @@
     /// Invariant: sorted by target; each list in the order in which connections became idle.
     idle: RefCell<Vec<(TargetKey, Vec<Idle>)>>,
     default_idle: Duration,
-    max_per_target: usize,
 }
 
 impl Connections {
     /// No connections. One is kept for `default_idle` where the target names no limit.
     #[must_use]
-    pub fn new(default_idle: Duration, max_per_target: usize) -> Self {
+    pub fn new(default_idle: Duration) -> Self {
         Self {
             idle: RefCell::new(Vec::new()),
             default_idle,
-            max_per_target,
         }
     }
 
@@ -49,13 +47,14 @@
         None
     }
 
-    /// Keeps a connection for the time that the target allows.
+    /// Keeps a connection for the time that the target allows, unless `most` are kept already.
     pub fn put(
         &self,
         now: Moment,
         target: TargetKey,
         connection: Connection,
         idle_limit: Option<Duration>,
+        most: usize,
     ) {
         let allowed = idle_limit.map_or(self.default_idle, |limit| limit * USED_IDLE_PERCENT / 100);
         let entry = Idle {
@@ -69,10 +68,10 @@
             position
         });
         let list = &mut idle[position].1;
-        if list.len() >= self.max_per_target {
-            list.remove(0);
+        list.retain(|entry| entry.until > now);
+        if list.len() < most {
+            list.push(entry);
         }
-        list.push(entry);
     }
 
     /// Closes connections that were idle for too long.
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -156,7 +156,7 @@
                 edge.target_unreachable(answer.target, cause);
             }
             if collect(job, &mut answer, MAX_FAILURE_BYTES).await.is_ok() {
-                answer.give_back(edge);
+                answer.give_back(job);
             }
             Err(FailedAttempt::new(AttemptEnd::Rejected, cause))
         }
@@ -168,7 +168,7 @@
                     head: clone_head(&answer.head),
                     body,
                 });
-                answer.give_back(edge);
+                answer.give_back(job);
             } else {
                 failed.end = AttemptEnd::Unknown;
             }
@@ -178,13 +178,21 @@
 }
 
 impl Answer {
-    /// Keeps the connection for the next request, if the answer is whole.
-    pub(crate) fn give_back(self, edge: &Edge) {
-        if let Some(connection) = self.body.into_connection() {
-            let idle_limit = self.marks.idle_limit;
-            edge.connections
-                .put(edge.now(), self.target, connection, idle_limit);
-        }
+    /// Keeps the connection for the next request, if the answer is whole. Requests that must not
+    /// run twice never use a kept one, so that they leave one at most.
+    pub(crate) fn give_back(self, job: &Job) {
+        let edge = &job.edge;
+        let Some(connection) = self.body.into_connection() else {
+            return;
+        };
+        let most = if job.route.is_repeatable() {
+            edge.idle_limit(&job.service)
+        } else {
+            1
+        };
+        let idle_limit = self.marks.idle_limit;
+        edge.connections
+            .put(edge.now(), self.target, connection, idle_limit, most);
     }
 }
 
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -53,6 +53,9 @@
 }
 
 fn admit(edge: &Edge, request: &HttpRequest, envelope: &Envelope) -> Result<Admitted, Refusal> {
+    if !edge.takes_requests() {
+        return Err(Refusal::Stopping);
+    }
     let config = edge.config().ok_or(Refusal::NoConfiguration)?;
     let connection = request.connection_info();
     let host = connection.host();
--- a/crates/edge/src/serve/plain.rs
+++ b/crates/edge/src/serve/plain.rs
@@ -43,7 +43,7 @@
                 body,
             };
             answers::log_served(job, &answer.target_id, answer.head.status.as_u16());
-            answer.give_back(&job.edge);
+            answer.give_back(job);
             Ok(answers::passed_on(&job.edge, whole))
         }
         Err(error) => {
--- a/crates/edge/src/serve/relay.rs
+++ b/crates/edge/src/serve/relay.rs
@@ -44,7 +44,7 @@
                 Ok(Step::End) => {
                     let target_id = relay.answer.target_id.clone();
                     answers::log_served(&relay.job, &target_id, 200);
-                    relay.answer.give_back(&relay.job.edge);
+                    relay.answer.give_back(&relay.job);
                     None
                 }
                 Err(cause) => {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -55,8 +55,6 @@
     pub patience_aims: u32,
     /// Idle time of a connection to a target that names no limit of its own.
     pub target_idle: Duration,
-    /// Idle connections kept for one target.
-    pub idle_per_target: usize,
     /// Idle time of a caller's connection.
     pub caller_idle: Duration,
     /// Time for which a stopping daemon takes requests until the balancer knows: two questions, a
@@ -81,7 +79,6 @@
             event_silence: Duration::from_millis(1_200),
             patience_aims: 3,
             target_idle: Duration::from_secs(4),
-            idle_per_target: 32,
             caller_idle: Duration::from_mins(2),
             stop_linger: Duration::from_millis(2_500),
             stop_reserve: Duration::from_millis(500),
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -7,6 +7,7 @@
 use actix_web::web::Payload;
 use actix_web::{App, HttpRequest, HttpResponse, rt, web};
 use lapismoor_core::Clock;
+use lapismoor_core::admission::StopPhase;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -158,22 +159,17 @@
             _ = hangup.recv() => log::info!("settings_kept"),
         }
     }
+    edge.stopping_since.set(Some(edge.now()));
     edge.stopping.cancel();
     Ok(())
 }
 
 /// Takes requests until the balancer knows, then waits for those in flight.
 async fn stop(edge: &Edge, accepting: &CancellationToken) {
-    let tuning = &edge.settings.tuning;
-    let began = edge.now();
+    let plan = edge.stop_plan();
+    let began = edge.stopping_since.get().unwrap_or_else(|| edge.now());
     log::info!(in_flight = edge.in_flight.get() as u64; "stopping");
-    tokio::time::sleep(tuning.stop_linger).await;
-    let longest = edge
-        .settings
-        .limits
-        .stop_grace
-        .saturating_sub(tuning.stop_reserve);
-    while edge.in_flight.get() > 0 && edge.now().saturating_sub(began) < longest {
+    while plan.phase(edge.now(), began, edge.in_flight.get()) != StopPhase::Exiting {
         tokio::time::sleep(STOP_POLL).await;
     }
     accepting.cancel();
