Fetch a part's cache from its next home by hash; gather changes of the store

Change: the source of a fetch is the first home by hash beside the chosen target, targets that left up to 2 s ago included; after news the store is asked again only after a quarter of the bound on the change.

--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -70,6 +70,8 @@
     relisting_until: Option<Moment>,
 }
 
+/// Time for which a target that left surely runs on, to end what it has begun.
+const RUNS_ON: Duration = Duration::from_secs(2);
 /// Time for which a target that left is remembered: its streams may last, and its cache can be
 /// fetched until it exits.
 const REMEMBER_LEFT: Duration = Duration::from_secs(30);
@@ -106,6 +108,20 @@
         })
     }
 
+    /// Targets of a service whose cache can be fetched: those in use, and those that left so
+    /// lately that they still run.
+    pub fn with_cache<'a>(
+        &'a self,
+        now: Moment,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a KnownTarget> {
+        self.targets.iter().filter(move |target| {
+            let left_at = target.left_at;
+            let may_run = left_at.is_none_or(|at| now.saturating_sub(at) < RUNS_ON);
+            target.entry.service == service && may_run && target.breaker.is_closed(now)
+        })
+    }
+
     /// Takes an entry as it stands in the store now.
     pub fn apply(&mut self, now: Moment, entry: TargetEntry) -> DirectoryChange {
         let position = match self.position(&entry.id) {
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -10,8 +10,7 @@
 use crate::clock::Moment;
 use crate::ids::{FailureDomain, ServiceId, TargetKey};
 use crate::membership::{Directory, KnownTarget};
-use crate::routing::homes::home_order;
-use crate::routing::part_index::PartIndex;
+use crate::routing::homes::{first_home, home_order};
 use crate::routing::popularity::Popularity;
 
 /// Kept free below the load bound for requests of other daemons that are not seen yet.
@@ -95,7 +94,6 @@
     domain: FailureDomain,
     bound: LoadBound,
     popularity: BTreeMap<ServiceId, Popularity>,
-    parts: PartIndex,
 }
 
 struct Candidate<'a> {
@@ -113,19 +111,6 @@
             domain,
             bound,
             popularity: BTreeMap::new(),
-            parts: PartIndex::default(),
-        }
-    }
-
-    /// Forgets what a target kept.
-    pub fn forget(&mut self, target: TargetKey) {
-        self.parts.forget(target);
-    }
-
-    /// Notes that a request with these parts went to a target.
-    pub fn note_sent(&mut self, now: Moment, parts: &[PromptPart], target: TargetKey) {
-        for part in shared(parts) {
-            self.parts.note(now, part.id, target);
         }
     }
 
@@ -180,10 +165,9 @@
             Some(rank) if rank < homes => Reason::FurtherHome,
             _ => Reason::Spilled,
         };
-        let first_home = candidates[order[0]].target;
         Some(Choice {
             target: one.target.key,
-            fetch_from: self.fetch_source(now, directory, demand.parts, one.target, first_home),
+            fetch_from: Self::fetch_source(now, directory, demand.service, part, one.target.key),
             reason,
             load: one.load,
             bound,
@@ -246,27 +230,20 @@
         homes.clamp(1, targets)
     }
 
-    /// A target that keeps a longer start of the prompt than the chosen one, as far as is known.
+    /// The home that the part has, or lately had, beside the chosen one. Nothing moves if that one
+    /// keeps nothing more.
     fn fetch_source(
-        &self,
         now: Moment,
         directory: &Directory,
-        parts: &[PromptPart],
-        chosen: &KnownTarget,
-        first_home: &KnownTarget,
+        service: &str,
+        part: &PromptPart,
+        chosen: TargetKey,
     ) -> Option<TargetKey> {
-        for part in shared(parts).iter().rev() {
-            if self.parts.holds(now, part.id, chosen.key) {
-                return None;
-            }
-            let mut holders = self.parts.holders(now, part.id);
-            if let Some(holder) = holders.find(|holder| can_give(now, directory, *holder)) {
-                return Some(holder);
-            }
-        }
-        let is_home = first_home.key == chosen.key;
-        let may_give = !is_home && can_give(now, directory, first_home.key);
-        may_give.then_some(first_home.key)
+        let others = directory.with_cache(now, service);
+        let others: Vec<&KnownTarget> = others.filter(|other| other.key != chosen).collect();
+        let names = others.iter().map(|other| other.entry.id.as_str());
+        let first = first_home(part.id, names)?;
+        Some(others[first].key)
     }
 
     /// The greatest load that a target may have before requests go elsewhere.
@@ -288,12 +265,6 @@
     }
 }
 
-fn can_give(now: Moment, directory: &Directory, holder: TargetKey) -> bool {
-    directory
-        .get(holder)
-        .is_some_and(|target| target.breaker.is_closed(now))
-}
-
 fn least_loaded(candidates: &[Candidate<'_>]) -> Option<usize> {
     let usable = |position: &usize| candidates[*position].is_usable;
     (0..candidates.len())
--- a/crates/core/src/routing/homes.rs
+++ b/crates/core/src/routing/homes.rs
@@ -16,3 +16,13 @@
     scored.sort_by(|left, right| right.1.total_cmp(&left.1));
     scored.into_iter().map(|(position, _)| position).collect()
 }
+
+/// Position of the first home among `names`.
+#[must_use]
+pub fn first_home<'a>(key: u64, names: impl Iterator<Item = &'a str>) -> Option<usize> {
+    let scored = names.map(|name| rendezvous_score(key, name, EVEN_WEIGHT_PERCENT));
+    let best = scored
+        .enumerate()
+        .max_by(|left, right| left.1.total_cmp(&right.1));
+    best.map(|(position, _)| position)
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -5,7 +5,6 @@
 pub mod homes;
 pub mod idle_limit;
 pub mod load;
-pub mod part_index;
 pub mod popularity;
 pub mod route;
 
@@ -13,6 +12,5 @@
 pub use config::{CallerLimits, EngineProfile, RoutingConfig, Service, Workspace};
 pub use idle_limit::idle_limit;
 pub use load::{LoadView, ReportedLoad};
-pub use part_index::PartIndex;
 pub use popularity::Popularity;
 pub use route::{Backend, Route, RouteKind};
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -123,9 +123,7 @@
         };
         let mut state = self.edge.state.borrow_mut();
         let state = &mut *state;
-        let choice = state.chooser.choose(now, &state.directory, &demand)?;
-        state.chooser.note_sent(now, parts, choice.target);
-        Ok(choice)
+        state.chooser.choose(now, &state.directory, &demand)
     }
 
     /// Decides what follows the end of an attempt.
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -33,6 +33,8 @@
     pub revoke_within: Option<Duration>,
     /// A new configuration is in force after this.
     pub config_within: Duration,
+    /// A target that leaves gets no new requests after this.
+    pub drain_within: Duration,
     /// Load that a target may have.
     pub load_bound: LoadBound,
     /// Retries.
@@ -65,6 +67,9 @@
     /// Longest wait for changes in the store. Two fifths of the usual revocation bound: an age
     /// below it never makes a daemon look cut off.
     pub store_wait: Duration,
+    /// Part of the bound on a change, in percent, for which further changes are gathered before
+    /// the store is asked again.
+    pub store_gather_percent: u32,
     /// Time for an answer of the store, beside the wait.
     pub store_timeout: Duration,
     /// Served requests of which one is logged.
@@ -83,6 +88,7 @@
             stop_linger: Duration::from_millis(2_500),
             stop_reserve: Duration::from_millis(500),
             store_wait: Duration::from_secs(2),
+            store_gather_percent: 25,
             store_timeout: Duration::from_millis(700),
             log_every: 32,
         }
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -49,12 +49,28 @@
         let limit = wait + edge.settings.tuning.store_timeout;
         let result = tokio::time::timeout(limit, call).await;
         match result.unwrap_or_else(|_| Err(timed_out())) {
-            Ok(changes) => progress.succeeded(&edge, asked_at, wait, changes),
+            Ok(changes) => {
+                let has_news = !changes.facts.is_empty();
+                progress.succeeded(&edge, asked_at, wait, changes);
+                if has_news {
+                    tokio::time::sleep(gathering(&edge, scope)).await;
+                }
+            }
             Err(error) => progress.failed(&edge, &error).await,
         }
     }
 }
 
+/// Time to gather further changes: they often come in quick succession, and each call is paid for.
+fn gathering(edge: &Edge, scope: Scope) -> Duration {
+    let limits = &edge.settings.limits;
+    let bound = match scope {
+        Scope::Configuration => limits.config_within,
+        Scope::Targets => limits.drain_within,
+    };
+    bound * edge.settings.tuning.store_gather_percent / 100
+}
+
 fn timed_out() -> StoreError {
     StoreError::Unavailable {
         reason: "no answer in time".into(),
@@ -164,15 +180,9 @@
 fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry) {
     let mut state = edge.state.borrow_mut();
     let id = entry.id.clone();
-    let before = state.directory.find(&id).map(|target| target.key);
     let change = state.directory.apply(now, entry);
     if change == DirectoryChange::Same {
         return;
     }
-    if change == DirectoryChange::Restarted
-        && let Some(before) = before
-    {
-        state.chooser.forget(before);
-    }
     log::info!(target:% = id, change:?; "target_listed");
 }
