--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,4 +22,4 @@
 pub use logging::start as start_logging;
 pub use settings::{EdgeSettings, FleetLimits, Tuning};
 pub use start::{StartError, run};
-pub use store::{Changes, Fact, Scope, StoreClient, StoreError, StoreRevision};
+pub use store::{Changes, Fact, StoreClient, StoreError, StoreRevision};
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -19,7 +19,7 @@
 use crate::serve;
 use crate::server;
 use crate::settings::EdgeSettings;
-use crate::store::{Scope, StoreClient, follow};
+use crate::store::{StoreClient, follow};
 
 /// Time between looks at what is due: lapsed entries, idle connections.
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
@@ -65,12 +65,7 @@
     serve_callers(&edge, listeners.callers, &accepting);
     serve_balancer(&edge, listeners.ready);
     serve_metrics(&edge, listeners.metrics);
-    rt::spawn(follow(
-        Rc::clone(&edge),
-        store.clone(),
-        Scope::Configuration,
-    ));
-    rt::spawn(follow(Rc::clone(&edge), store, Scope::Targets));
+    rt::spawn(follow(Rc::clone(&edge), store));
     rt::spawn(keep_house(Rc::clone(&edge)));
     log::info!(
         caller_address:% = edge.settings.caller_address,
--- a/crates/edge/src/store/client.rs
+++ b/crates/edge/src/store/client.rs
@@ -12,26 +12,6 @@
 /// Position in the store's history.
 pub type StoreRevision = u64;
 
-/// Which part of the store a call reads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Scope {
-    /// The configuration.
-    Configuration,
-    /// The targets.
-    Targets,
-}
-
-impl Scope {
-    /// A short name for logs.
-    #[must_use]
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Configuration => "configuration",
-            Self::Targets => "targets",
-        }
-    }
-}
-
 /// Facts up to a position in the store's history.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Changes {
@@ -67,8 +47,8 @@
 /// Calls to the store.
 #[derive(Clone)]
 pub struct StoreClient {
-    /// Reads all of a scope as it is now.
-    pub list: Rc<dyn Fn(Scope) -> StoreCall>,
-    /// Waits for changes of a scope after a position, for the time given at most.
-    pub watch: Rc<dyn Fn(Scope, StoreRevision, Duration) -> StoreCall>,
+    /// Reads everything as it is now.
+    pub list: Rc<dyn Fn() -> StoreCall>,
+    /// Waits for changes after a position, for the time given at most.
+    pub watch: Rc<dyn Fn(StoreRevision, Duration) -> StoreCall>,
 }
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -1,5 +1,4 @@
-//! Follows one scope of the store: reads all of it, then waits for changes, for as long as the
-//! daemon runs.
+//! Follows the store: reads all of it, then waits for changes, for as long as the daemon runs.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +6,7 @@
 use lapismoor_core::Moment;
 use lapismoor_core::membership::{DirectoryChange, TargetEntry};
 
-use super::client::{Changes, Scope, StoreClient, StoreError, StoreRevision};
+use super::client::{Changes, StoreClient, StoreError, StoreRevision};
 use super::fact::Fact;
 use crate::context::Edge;
 
@@ -21,17 +20,15 @@
 
 /// Where the loop stands.
 struct Progress {
-    scope: Scope,
     /// Position to go on from; none if everything must be read again.
     revision: Option<StoreRevision>,
     /// Pause before the next try. Invariant: zero unless the last call failed.
     pause: Duration,
 }
 
-/// Follows a scope until the daemon ends.
-pub(crate) async fn follow(edge: Rc<Edge>, client: StoreClient, scope: Scope) {
+/// Follows the store until the daemon ends.
+pub(crate) async fn follow(edge: Rc<Edge>, client: StoreClient) {
     let mut progress = Progress {
-        scope,
         revision: None,
         pause: Duration::ZERO,
     };
@@ -43,8 +40,8 @@
             PROBE_WAIT
         };
         let call = match progress.revision {
-            None => (client.list)(scope),
-            Some(revision) => (client.watch)(scope, revision, wait),
+            None => (client.list)(),
+            Some(revision) => (client.watch)(revision, wait),
         };
         let limit = wait + edge.settings.tuning.store_timeout;
         let result = tokio::time::timeout(limit, call).await;
@@ -53,7 +50,7 @@
                 let has_news = !changes.facts.is_empty();
                 progress.succeeded(&edge, asked_at, wait, changes);
                 if has_news {
-                    tokio::time::sleep(gathering(&edge, scope)).await;
+                    tokio::time::sleep(gathering(&edge)).await;
                 }
             }
             Err(error) => progress.failed(&edge, &error).await,
@@ -62,12 +59,9 @@
 }
 
 /// Time to gather further changes: they often come in quick succession, and each call is paid for.
-fn gathering(edge: &Edge, scope: Scope) -> Duration {
+fn gathering(edge: &Edge) -> Duration {
     let limits = &edge.settings.limits;
-    let bound = match scope {
-        Scope::Configuration => limits.config_within,
-        Scope::Targets => limits.drain_within,
-    };
+    let bound = limits.config_within.min(limits.drain_within);
     bound * edge.settings.tuning.store_gather_percent / 100
 }
 
@@ -80,7 +74,7 @@
 impl Progress {
     fn succeeded(&mut self, edge: &Edge, asked_at: Moment, wait: Duration, changes: Changes) {
         if !self.pause.is_zero() {
-            log::info!(scope = self.scope.name(); "store_back");
+            log::info!("store_back");
             self.pause = Duration::ZERO;
         }
         // An answer without news was given at the end of the wait, with the state of that moment.
@@ -89,13 +83,11 @@
         let is_full = self.revision.is_none();
         self.revision = Some(changes.revision);
         let now = edge.now();
-        match self.scope {
-            Scope::Configuration => {
-                edge.state.borrow_mut().freshness.confirm(known_at.min(now));
-            }
-            Scope::Targets => edge.state.borrow_mut().directory.store_back(now),
-        }
-        if is_full && self.scope == Scope::Targets {
+        let mut state = edge.state.borrow_mut();
+        state.freshness.confirm(known_at.min(now));
+        state.directory.store_back(now);
+        drop(state);
+        if is_full {
             apply_full_list(edge, now, &changes);
         }
         for fact in changes.facts {
@@ -105,17 +97,15 @@
 
     async fn failed(&mut self, edge: &Edge, error: &StoreError) {
         if *error == StoreError::HistoryGone {
-            log::info!(scope = self.scope.name(), revision = self.revision; "store_history_gone");
+            log::info!(revision = self.revision; "store_history_gone");
             self.revision = None;
             return;
         }
         if self.pause.is_zero() {
-            log::warn!(scope = self.scope.name(), error:%; "store_lost");
-        }
-        if self.scope == Scope::Targets {
-            let now = edge.now();
-            edge.state.borrow_mut().directory.store_lost(now);
+            log::warn!(error:%; "store_lost");
         }
+        let now = edge.now();
+        edge.state.borrow_mut().directory.store_lost(now);
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
         tokio::time::sleep(self.pause).await;
     }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -4,6 +4,6 @@
 mod fact;
 mod follow;
 
-pub use client::{Changes, Scope, StoreClient, StoreError, StoreRevision};
+pub use client::{Changes, StoreClient, StoreError, StoreRevision};
 pub use fact::Fact;
 pub(crate) use follow::follow;
