Tell from logs why a request failed; show what a daemon believes

Cause: the lines of the log had to be read by hand, and attempts did not tell what the choice was based on.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -16,6 +16,7 @@
 use crate::dialect::Dialect;
 use crate::http::Connections;
 use crate::metrics::Metrics;
+use crate::millis::millis;
 use crate::settings::EdgeSettings;
 
 /// The daemon.
@@ -38,8 +39,6 @@
     pub stopping_since: Cell<Option<Moment>>,
     /// Requests of callers in flight.
     pub in_flight: Cell<usize>,
-    /// Served requests since the last one logged.
-    pub unlogged: Cell<u32>,
 }
 
 /// What is known and was decided.
@@ -85,7 +84,6 @@
             stopping: CancellationToken::new(),
             stopping_since: Cell::new(None),
             in_flight: Cell::new(0),
-            unlogged: Cell::new(0),
         })
     }
 
@@ -148,6 +146,13 @@
         self.with_budget(service, |budget| budget.take(now, &share))
     }
 
+    /// Retries left for a service.
+    #[must_use]
+    pub fn retries_left(&self, service: &ServiceId) -> usize {
+        let share = self.state.borrow().share.clone();
+        self.with_budget(service, |budget| budget.left(&share))
+    }
+
     /// Name and address of a target.
     #[must_use]
     pub fn address_of(&self, target: TargetKey) -> Option<(TargetId, SocketAddr)> {
@@ -222,7 +227,7 @@
         if was_closed {
             log::warn!(
                 target:% = known.entry.id,
-                pause_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX),
+                pause_ms = millis(pause),
                 cause;
                 "target_paused"
             );
--- a/crates/edge/src/serve/answers.rs
+++ b/crates/edge/src/serve/answers.rs
@@ -10,15 +10,16 @@
 use compact_str::CompactString;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::Refusal;
-use lapismoor_core::ids::{TargetId, TargetKey};
+use lapismoor_core::ids::TargetId;
 use lapismoor_core::retry::NextStep;
-use lapismoor_core::routing::NoTarget;
+use lapismoor_core::routing::{Choice, NoTarget};
 
-use super::attempt::{FailedAttempt, FailureAnswer, millis};
+use super::attempt::{FailedAttempt, FailureAnswer};
 use super::body::BodyError;
 use super::job::{Job, is_hop_by_hop};
 use crate::context::Edge;
 use crate::dialect::EnvelopeError;
+use crate::millis::millis;
 
 /// Refuses a request that has not run.
 pub(crate) fn refused(
@@ -145,13 +146,9 @@
     let edge = &job.edge;
     let took = edge.now().saturating_sub(job.received);
     edge.metrics.served(took);
-    let unlogged = edge.unlogged.get() + 1;
-    let is_repeated = job.progress.sends > 0;
-    if unlogged < edge.settings.tuning.log_every && !is_repeated {
-        edge.unlogged.set(unlogged);
+    if !job.is_logged() {
         return;
     }
-    edge.unlogged.set(0);
     log::info!(
         request:% = job.envelope.id,
         service:% = job.service,
@@ -167,20 +164,29 @@
 /// Logs an attempt that failed and what follows.
 pub(crate) fn log_failed_attempt(
     job: &Job,
-    target: TargetKey,
+    choice: &Choice,
     failed: &FailedAttempt,
     step: &NextStep,
 ) {
-    let name = job.edge.address_of(target).map(|(id, _)| id);
+    let target = choice.target;
+    let name = job
+        .edge
+        .address_of(target)
+        .map(|(id, _)| id)
+        .unwrap_or_default();
     job.edge.metrics.attempt_failed(failed.cause);
     log::info!(
         request:% = job.envelope.id,
         service:% = job.service,
-        target:? = name,
+        target:% = name,
+        reason:? = choice.reason,
+        load = choice.load,
+        bound = choice.bound,
         end:? = failed.end,
         cause = failed.cause,
         next:? = step,
         runs = job.progress.runs,
+        retries_left = job.edge.retries_left(&job.service) as u64,
         load_age_ms = job.edge.load_age(target).map(millis),
         time_left_ms = millis(job.time_left());
         "attempt_failed"
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt: a request sent to one target, up to the head of the answer.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead, header};
 use bytes::{Bytes, BytesMut};
@@ -15,6 +14,7 @@
 use crate::context::Edge;
 use crate::dialect::{AnswerMarks, AttemptHeaders};
 use crate::http::{AnswerBody, Connection, ExchangeError};
+use crate::millis::millis;
 
 /// Longest body of a failure that is kept to be passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -323,19 +323,22 @@
     head
 }
 
+/// Lines of requests that are served at once are sampled by the request's id, so that all daemons
+/// log the same requests.
 fn log_sent(job: &Job, choice: &Choice, target_id: &TargetId, last_event: Option<u64>) {
-    if !log::log_enabled!(log::Level::Debug) {
+    if !job.is_logged() {
         return;
     }
-    let age = job.edge.load_age(choice.target);
-    log::debug!(
+    log::info!(
         request:% = job.envelope.id,
         target:% = target_id,
         service:% = job.service,
+        config_version = job.config_version,
+        config_age_ms = job.edge.config_age().map(millis),
         reason:? = choice.reason,
         load = choice.load,
         bound = choice.bound,
-        load_age_ms = age.map(millis),
+        load_age_ms = job.edge.load_age(choice.target).map(millis),
         fetch = choice.fetch_from.is_some(),
         sends = job.progress.sends,
         last_event,
@@ -343,7 +346,3 @@
         "sent"
     );
 }
-
-pub(crate) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -137,6 +137,12 @@
             .next(end, self.progress, has_time, take_budget)
     }
 
+    /// Whether lines of success are logged: of a sample, and of what did not go well at once.
+    pub(crate) fn is_logged(&self) -> bool {
+        let every = u64::from(self.edge.settings.tuning.log_every.max(1));
+        !self.tried.is_empty() || request_hash(&self.envelope.id).is_multiple_of(every)
+    }
+
     /// Whether another attempt would be allowed after one that may have run.
     pub(crate) fn may_go_elsewhere(&self) -> bool {
         self.route.is_repeatable() && self.progress.runs + 1 < self.route.max_attempts
--- a/crates/edge/src/serve/plain.rs
+++ b/crates/edge/src/serve/plain.rs
@@ -26,7 +26,7 @@
             Err(failed) => failed,
         };
         let step = job.after(choice.target, &failed.end);
-        answers::log_failed_attempt(&job, choice.target, &failed, &step);
+        answers::log_failed_attempt(&job, &choice, &failed, &step);
         last_failure = failed.answer.or(last_failure);
         match step {
             NextStep::Retry => {}
--- a/crates/edge/src/serve/relay.rs
+++ b/crates/edge/src/serve/relay.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use lapismoor_core::retry::{AttemptEnd, NextStep};
+use lapismoor_core::routing::Choice;
 use lapismoor_core::stream::EventSplitter;
 
 use super::answers;
@@ -15,6 +16,7 @@
 /// A stream between a target and a caller.
 pub(crate) struct Relay {
     job: Job,
+    choice: Choice,
     answer: Answer,
     splitter: EventSplitter,
 }
@@ -25,10 +27,11 @@
 }
 
 impl Relay {
-    pub(crate) fn new(job: Job, answer: Answer) -> Self {
+    pub(crate) fn new(job: Job, choice: Choice, answer: Answer) -> Self {
         let splitter = EventSplitter::resumed_after(job.envelope.last_event);
         Self {
             job,
+            choice,
             answer,
             splitter,
         }
@@ -104,16 +107,14 @@
             cause,
             answer: None,
         };
-        let mut target = self.answer.target;
         loop {
-            let step = self.job.after(target, &failed.end);
-            answers::log_failed_attempt(&self.job, target, &failed, &step);
+            let step = self.job.after(self.choice.target, &failed.end);
+            answers::log_failed_attempt(&self.job, &self.choice, &failed, &step);
             if step != NextStep::Retry {
                 return Err(cause);
             }
-            let choice = self.job.choose().map_err(|_| cause)?;
-            target = choice.target;
-            match attempt::run(&self.job, &choice, self.splitter.last_id()).await {
+            self.choice = self.job.choose().map_err(|_| cause)?;
+            match attempt::run(&self.job, &self.choice, self.splitter.last_id()).await {
                 Ok(answer) if answer.head.status.is_success() => {
                     self.answer = answer;
                     return Ok(());
--- a/crates/edge/src/serve/stream.rs
+++ b/crates/edge/src/serve/stream.rs
@@ -21,14 +21,14 @@
         let failed = match attempt::run(&job, &choice, last_event).await {
             Ok(answer) if answer.head.status.is_success() => {
                 let head = answers::head_for(&job.edge, &answer.head);
-                let body = BodyStream::new(Relay::new(job, answer).into_stream());
+                let body = BodyStream::new(Relay::new(job, choice, answer).into_stream());
                 return answers::with_body(head, body);
             }
             Ok(answer) => return super::plain::pass_final(&job, answer).await,
             Err(failed) => failed,
         };
         let step = job.after(choice.target, &failed.end);
-        answers::log_failed_attempt(&job, choice.target, &failed, &step);
+        answers::log_failed_attempt(&job, &choice, &failed, &step);
         last_failure = failed.answer.or(last_failure);
         match step {
             NextStep::Retry => {}
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -19,6 +19,7 @@
 use crate::serve;
 use crate::server;
 use crate::settings::EdgeSettings;
+use crate::status::Status;
 use crate::store::{StoreClient, follow};
 
 /// Time between looks at what is due: lapsed entries, idle connections.
@@ -107,7 +108,12 @@
 
 fn serve_metrics(edge: &Rc<Edge>, listener: TcpListener) {
     let for_metrics = Rc::clone(edge);
-    let app = App::new().route(
+    let for_status = Rc::clone(edge);
+    let status = web::get().to(move || {
+        let status = Status::of(&for_status);
+        async move { HttpResponse::Ok().json(status) }
+    });
+    let app = App::new().route("/status", status).route(
         "/metrics",
         web::get().to(move || {
             let text = for_metrics.metrics.render();
--- /dev/null
+++ b/crates/edge/tests/story.rs
@@ -0,0 +1,62 @@
+//! From the id of a failed request to its cause.
+
+use lapismoor_edge::story::{LogLine, Story};
+use test_case::test_case;
+
+const LINES: &str = r#"
+ -9.9 edge-1 {"daemon":"edge-1","event":"started","level":"INFO","time_ms":1000}
+  1.0 edge-1 {"daemon":"edge-1","event":"configuration_in_force","version":7,"time_ms":2000}
+  2.0 edge-1 {"daemon":"edge-1","event":"store_lost","error":"timeout","time_ms":9000}
+  2.1 edge-1 {"daemon":"edge-1","event":"target_paused","target":"i-1","cause":"connect_failed","time_ms":9100}
+  2.1 edge-1 {"daemon":"edge-1","event":"target_paused","target":"i-9","cause":"silent","time_ms":9100}
+  2.1 edge-2 {"daemon":"edge-2","event":"target_paused","target":"i-1","cause":"silent","time_ms":9100}
+  2.2 edge-1 {"daemon":"edge-1","event":"attempt_failed","request":"r-cut","target":"i-1","cause":"connection_broken","next":"FailUnknown","time_ms":9200}
+  2.2 edge-1 {"daemon":"edge-1","event":"broken_off","request":"r-cut","cause":"connection_broken","last_event":3,"time_ms":9201}
+  2.3 edge-1 {"daemon":"edge-1","event":"attempt_failed","request":"r-busy","target":"i-1","cause":"rejected","next":"RefuseNotRun","time_ms":9300}
+  2.3 edge-1 {"daemon":"edge-1","event":"refused","request":"r-busy","reason":"busy","time_ms":9301}
+  2.4 edge-1 {"daemon":"edge-1","event":"refused","request":"r-key","reason":"unknown_key","config_version":7,"time_ms":9400}
+  2.5 edge-1 {"daemon":"edge-1","event":"sent","request":"r-open","target":"i-1","time_ms":9500}
+  2.6 edge-1 {"daemon":"edge-1","event":"served","request":"r-ok","target":"i-1","time_ms":9600}
+not a line of a daemon
+"#;
+
+fn story(request: &str) -> Option<Story> {
+    let lines: Vec<LogLine> = LINES.lines().filter_map(LogLine::parse).collect();
+    Story::of(request, &lines)
+}
+
+#[test_case("r-cut", "broken_off", "connection_broken")]
+#[test_case("r-busy", "refused", "rejected"; "a refusal is explained by its last attempt")]
+#[test_case("r-key", "refused", "unknown_key")]
+#[test_case("r-open", "unfinished", "daemon_gone")]
+#[test_case("r-ok", "served", "served")]
+fn causes(request: &str, outcome: &str, name: &str) {
+    let actual = story(request).expect("it has lines").cause;
+    assert_eq!(
+        (actual.outcome.as_str(), actual.name.as_str()),
+        (outcome, name)
+    );
+}
+
+#[test]
+fn beliefs_are_of_the_same_daemon_and_about_what_the_request_used() {
+    let story = story("r-cut").expect("it has lines");
+    let actual: Vec<&str> = story
+        .beliefs
+        .iter()
+        .map(|line| line.event.as_str())
+        .collect();
+    let expected = [
+        "started",
+        "configuration_in_force",
+        "store_lost",
+        "target_paused",
+    ];
+    assert_eq!(actual, expected);
+    assert_eq!(story.beliefs[3].text("target"), Some("i-1"));
+}
+
+#[test]
+fn a_request_without_lines_has_no_story() {
+    assert_eq!(story("r-unknown"), None);
+}
--- a/crates/lapismoorctl/src/arguments.rs
+++ b/crates/lapismoorctl/src/arguments.rs
@@ -8,7 +8,7 @@
 /// Edit the configuration of a lapismoor fleet and look at its state
 ///
 /// Exit codes: 0 done, 1 the key-value service or a daemon did not answer, 2 the configuration is
-/// not valid, 3 another change came first, 4 it is unknown whether the change took effect.
+/// not valid or the logs have no line of the request, 3 another change came first, 4 it is unknown whether the change took effect.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 pub(crate) struct Arguments {
@@ -32,6 +32,23 @@
     /// Show the daemons and what they do
     #[bpaf(command)]
     Fleet,
+    /// Tell from logs what became of a request, and why
+    #[bpaf(command)]
+    Explain {
+        /// Id of the request
+        #[bpaf(positional("REQUEST_ID"))]
+        request: String,
+        /// Logs of the daemons; - or none reads standard input
+        #[bpaf(positional("LOG"))]
+        logs: Vec<PathBuf>,
+    },
+    /// Show what a daemon believes, with the age of each belief
+    #[bpaf(command)]
+    Status {
+        /// Address of the daemon's metrics
+        #[bpaf(positional("IP:PORT"))]
+        daemon: SocketAddr,
+    },
 }
 
 #[derive(Debug, Clone, Bpaf)]
@@ -42,6 +59,8 @@
     /// Check a file without changing anything
     #[bpaf(command)]
     Check {
+        /// The file is a document of the platform
+        platform: bool,
         /// Configuration, as JSON
         #[bpaf(positional("FILE"))]
         file: PathBuf,
--- a/crates/lapismoorctl/src/config.rs
+++ b/crates/lapismoorctl/src/config.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use snafu::ResultExt;
 
-use crate::error::{CommandError, InvalidSnafu, UnreadableSnafu};
+use crate::error::{CommandError, InvalidDocumentSnafu, InvalidSnafu, UnreadableSnafu};
 use crate::store;
 
 fn read(file: &Path) -> Result<Config, CommandError> {
@@ -31,6 +31,21 @@
     ))
 }
 
+pub(crate) fn check_platform(file: &Path, json: bool) -> Result<String, CommandError> {
+    let text = std::fs::read(file).context(UnreadableSnafu { path: file })?;
+    let config =
+        lapismoor_adapter::read_config(&text).context(InvalidDocumentSnafu { path: file })?;
+    let (routes, services, keys) = config.sizes();
+    let version = config.version();
+    if json {
+        return Ok(format!("{}\n", json!({"valid": true, "version": version})));
+    }
+    Ok(format!(
+        "{} is valid: version {version}, {routes} routes, {services} services, {keys} keys\n",
+        file.display(),
+    ))
+}
+
 pub(crate) async fn show(store: &KeyValue, json: bool) -> Result<String, CommandError> {
     let accepted = store::accepted(store).await?;
     if json {
--- a/crates/lapismoorctl/src/error.rs
+++ b/crates/lapismoorctl/src/error.rs
@@ -24,6 +24,20 @@
     },
     #[snafu(display("{} is refused:\n{source}", path.display()))]
     Invalid { path: PathBuf, source: ConfigError },
+    #[snafu(display("{} is refused: {source}; correct this field", path.display()))]
+    InvalidDocument {
+        path: PathBuf,
+        source: lapismoor_adapter::DocumentError,
+    },
+    #[snafu(display(
+        "no line is about request {request}; pass the logs of all daemons of that time"
+    ))]
+    NoLine { request: String },
+    #[snafu(display("{daemon} does not tell its status: {reason}; check address and daemon"))]
+    NoStatus {
+        daemon: std::net::SocketAddr,
+        reason: String,
+    },
     #[snafu(display(
         "another change came first: revision {revision} is accepted; \
          look at it with 'lapismoorctl config show' and apply again"
@@ -39,8 +53,12 @@
 impl CommandError {
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::NoAnswer | Self::NoConfig | Self::NoProfile { .. } => 1,
-            Self::NoAddress | Self::Unreadable { .. } | Self::Invalid { .. } => 2,
+            Self::NoAnswer | Self::NoConfig | Self::NoProfile { .. } | Self::NoStatus { .. } => 1,
+            Self::NoAddress
+            | Self::Unreadable { .. }
+            | Self::Invalid { .. }
+            | Self::InvalidDocument { .. }
+            | Self::NoLine { .. } => 2,
             Self::Conflict { .. } => 3,
             Self::UnknownEffect => 4,
         }
--- a/crates/lapismoorctl/src/main.rs
+++ b/crates/lapismoorctl/src/main.rs
@@ -3,8 +3,10 @@
 mod arguments;
 mod config;
 mod error;
+mod explain;
 mod fleet;
 mod profile;
+mod status;
 mod store;
 
 use std::process::ExitCode;
@@ -30,7 +32,13 @@
 async fn run(arguments: arguments::Arguments) -> Result<String, CommandError> {
     let json = arguments.json;
     match arguments.command {
-        Command::Config(ConfigCommand::Check { file }) => config::check(&file, json),
+        Command::Config(ConfigCommand::Check { platform, file }) => {
+            if platform {
+                config::check_platform(&file, json)
+            } else {
+                config::check(&file, json)
+            }
+        }
         Command::Config(ConfigCommand::Show) => {
             config::show(&store::connect(arguments.key_value)?, json).await
         }
@@ -46,6 +54,8 @@
         Command::Profile(ProfileCommand::Show { name }) => {
             profile::show(&store::connect(arguments.key_value)?, &name).await
         }
+        Command::Explain { request, logs } => explain::explain(&request, &logs, json),
+        Command::Status { daemon } => status::status(daemon, json).await,
         Command::Fleet => fleet::fleet(&store::connect(arguments.key_value)?, json).await,
     }
 }
