Let daemons read the store for each other

Change: daemons announce themselves under a lease; in fleets over 12 two daemons of each failure domain read the store and the others ask them over capnp-rpc (crates/mirror); a daemon whose source fails asks the next. Answers carry the age of the knowledge, counted from the moment of the question, so that revocation stays exact.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -17,6 +17,8 @@
 pub type ServiceId = CompactString;
 /// Number that a daemon gives to one run of a target when it first hears of it; never reused.
 pub type TargetKey = u64;
+/// Position in the history of the platform's store.
+pub type StoreRevision = u64;
 /// Version of the routing configuration; grows by uneven steps.
 pub type ConfigVersion = u64;
 /// Name of a workspace.
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -65,7 +65,6 @@
     /// Invariant: sorted by id.
     targets: Vec<KnownTarget>,
     last_key: TargetKey,
-    store_lost_at: Option<Moment>,
     /// Until when entries that lapsed are waited for.
     relisting_until: Option<Moment>,
 }
@@ -163,28 +162,9 @@
         self.targets[position].leave(now)
     }
 
-    /// Ids that are missing from the full list.
-    #[must_use]
-    pub fn missing_from(&self, listed: &[TargetEntry]) -> Vec<TargetId> {
-        let is_listed = |id: &str| listed.iter().any(|entry| entry.id == id);
-        let missing = self
-            .targets
-            .iter()
-            .filter(|target| target.standing != Standing::Leaving && !is_listed(&target.entry.id));
-        missing.map(|target| target.entry.id.clone()).collect()
-    }
-
-    /// Notes that the store does not answer.
-    pub fn store_lost(&mut self, now: Moment) {
-        self.store_lost_at.get_or_insert(now);
-    }
-
-    /// Notes that the store answers again.
-    pub fn store_back(&mut self, now: Moment) {
-        let Some(lost_at) = self.store_lost_at.take() else {
-            return;
-        };
-        if now.saturating_sub(lost_at) >= LAPSING_OUTAGE {
+    /// Notes that the store answers again after it was `away`.
+    pub fn store_returned(&mut self, now: Moment, away: Duration) {
+        if away >= LAPSING_OUTAGE {
             self.relisting_until = Some(now + RELIST_WITHIN);
         }
     }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -3,9 +3,13 @@
 pub mod directory;
 pub mod entry;
 pub mod freshness;
+pub mod mirror;
+pub mod sources;
 pub mod traffic_share;
 
 pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
 pub use entry::{TargetEntry, TargetState};
 pub use freshness::Freshness;
+pub use mirror::{Mirror, StoreItem};
+pub use sources::{DaemonRecord, Source, Sources};
 pub use traffic_share::TrafficShare;
--- /dev/null
+++ b/crates/core/src/membership/sources.rs
@@ -0,0 +1,123 @@
+//! Whom a daemon asks for what the store holds.
+//!
+//! Each call to the store is paid for, and a store that turns some daemons away still serves the
+//! others. In a large fleet two daemons of each failure domain read the store and the others ask
+//! them; every daemon works out the same two from the list of daemons. A daemon whose source fails
+//! asks the next one, so that the loss of any daemon, or of the way to the store, costs freshness
+//! for a moment only.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::ids::{DaemonId, FailureDomain, hash_parts};
+use crate::routing::homes::home_order;
+
+/// Daemons up to which all read the store: its price is small there.
+const SMALL_FLEET: usize = 12;
+/// Daemons of a failure domain that read the store for the others.
+const READERS: usize = 2;
+/// Key by which the readers are drawn.
+const READER_KEY: u64 = 0x5265_6164;
+/// Time for which a source that failed is left alone.
+const REST: Duration = Duration::from_secs(1);
+
+value! {
+    /// A daemon as it announced itself.
+    pub struct DaemonRecord {
+        /// Name.
+        pub id: DaemonId,
+        /// Failure domain.
+        pub domain: FailureDomain,
+        /// Where other daemons reach it.
+        pub address: SocketAddr,
+    }
+
+    /// Whom to ask.
+    pub enum Source {
+        /// The store itself.
+        Store,
+        /// Another daemon.
+        Daemon(DaemonRecord),
+    }
+}
+
+/// Chooses sources.
+#[derive(Debug, Clone)]
+pub struct Sources {
+    own: DaemonId,
+    domain: FailureDomain,
+    /// Sources that failed, and until when they are left alone.
+    resting: Vec<(Source, Moment)>,
+}
+
+impl Sources {
+    /// Sources for a daemon.
+    #[must_use]
+    pub fn new(own: DaemonId, domain: FailureDomain) -> Self {
+        Self {
+            own,
+            domain,
+            resting: Vec::new(),
+        }
+    }
+
+    /// The source to ask now.
+    pub fn choose(&mut self, now: Moment, daemons: &[DaemonRecord]) -> Source {
+        self.resting.retain(|(_, until)| now < *until);
+        let is_resting = |source: &Source| self.resting.iter().any(|(known, _)| known == source);
+        let preferred = self.preferred(daemons);
+        let chosen = preferred.into_iter().find(|source| !is_resting(source));
+        chosen.unwrap_or(Source::Store)
+    }
+
+    /// Notes that a source failed, or knows too little.
+    pub fn failed(&mut self, now: Moment, source: Source) {
+        self.resting.push((source, now + REST));
+    }
+
+    /// All sources, the best first.
+    fn preferred(&self, daemons: &[DaemonRecord]) -> Vec<Source> {
+        let others = self.readers(daemons);
+        let is_reader = others.iter().any(|daemon| daemon.id == self.own);
+        let reads_store = daemons.len() <= SMALL_FLEET || is_reader;
+        let mut sources: Vec<Source> = others
+            .into_iter()
+            .filter(|daemon| daemon.id != self.own)
+            .map(|daemon| Source::Daemon(daemon.clone()))
+            .collect();
+        if reads_store {
+            sources.insert(0, Source::Store);
+        } else {
+            let position = sources.len().min(READERS);
+            sources.insert(position, Source::Store);
+        }
+        sources
+    }
+
+    /// Daemons that read the store, those of the own failure domain first; the first of them
+    /// differs between daemons, so that each reader has its part of those who ask.
+    fn readers<'a>(&self, daemons: &'a [DaemonRecord]) -> Vec<&'a DaemonRecord> {
+        let mut domains: Vec<&FailureDomain> = daemons.iter().map(|one| &one.domain).collect();
+        domains.sort();
+        domains.dedup();
+        domains.sort_by_key(|domain| **domain != self.domain);
+        let swap = hash_parts(&[self.own.as_bytes()]) % 2 == 1;
+        let mut readers = Vec::new();
+        for domain in domains {
+            let members = daemons.iter().filter(|one| one.domain == *domain);
+            let members: Vec<&DaemonRecord> = members.collect();
+            let order = home_order(READER_KEY, members.iter().map(|one| one.id.as_str()));
+            let mut drawn: Vec<&DaemonRecord> = order
+                .iter()
+                .take(READERS)
+                .map(|position| members[*position])
+                .collect();
+            if swap {
+                drawn.reverse();
+            }
+            readers.extend(drawn);
+        }
+        readers
+    }
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,10 +7,11 @@
 
 use lapismoor_core::admission::StopPlan;
 use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
-use lapismoor_core::membership::{Directory, Freshness, TrafficShare};
+use lapismoor_core::membership::{DaemonRecord, Directory, Freshness, Mirror, TrafficShare};
 use lapismoor_core::retry::ServiceBudget;
 use lapismoor_core::routing::{Chooser, ReportedLoad, RoutingConfig, idle_limit};
 use lapismoor_core::{Clock, Moment};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
@@ -33,6 +34,8 @@
     pub connections: Connections,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Notified when the store said something new.
+    pub news: Notify,
     /// Cancelled when the planned stop begins.
     pub stopping: CancellationToken,
     /// When the planned stop began.
@@ -48,6 +51,10 @@
     pub config: Option<Rc<RoutingConfig>>,
     /// Targets.
     pub directory: Directory,
+    /// Copy of the store.
+    pub mirror: Mirror,
+    /// Daemons that announced themselves. Invariant: sorted by id.
+    pub daemons: Vec<DaemonRecord>,
     /// Whether the targets were listed once.
     pub is_listed: bool,
     /// Picks targets.
@@ -67,6 +74,8 @@
         let state = State {
             config: None,
             directory: Directory::default(),
+            mirror: Mirror::default(),
+            daemons: Vec::new(),
             is_listed: false,
             chooser: Chooser::new(settings.domain.clone(), settings.limits.load_bound.clone()),
             freshness: Freshness::new(settings.limits.revoke_within),
@@ -81,6 +90,7 @@
             state: RefCell::new(state),
             connections,
             metrics: Metrics::default(),
+            news: Notify::new(),
             stopping: CancellationToken::new(),
             stopping_since: Cell::new(None),
             in_flight: Cell::new(0),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,4 +26,4 @@
 pub use settings::{EdgeSettings, FleetLimits, Tuning};
 pub use start::{StartError, run};
 pub use status::{Status, TargetStatus};
-pub use store::{Changes, Fact, StoreClient, StoreError, StoreRevision};
+pub use store::{Changes, Fact, LeaseId, StoreCall, StoreClient, StoreError};
--- a/crates/edge/src/listeners.rs
+++ b/crates/edge/src/listeners.rs
@@ -15,6 +15,8 @@
     pub callers: TcpListener,
     /// For the balancer's question whether the daemon is ready.
     pub ready: TcpListener,
+    /// For other daemons.
+    pub peers: TcpListener,
     /// For metrics.
     pub metrics: TcpListener,
 }
@@ -28,6 +30,7 @@
         Ok(Self {
             callers: bind(settings.caller_address, "caller_address").await?,
             ready: bind(settings.ready_address, "ready_address").await?,
+            peers: bind(settings.peer_address, "peer_address").await?,
             metrics: bind(settings.metrics_address, "metrics_address").await?,
         })
     }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -18,6 +18,8 @@
     pub caller_address: SocketAddr,
     /// Address for the balancer's question whether the daemon is ready.
     pub ready_address: SocketAddr,
+    /// Address for other daemons.
+    pub peer_address: SocketAddr,
     /// Address of the metrics.
     pub metrics_address: SocketAddr,
     /// Limits of the fleet.
@@ -64,9 +66,11 @@
     pub stop_linger: Duration,
     /// Part of the stop grace that is kept free, so that the process ends by itself.
     pub stop_reserve: Duration,
-    /// Longest wait for changes in the store. Two fifths of the usual revocation bound: an age
-    /// below it never makes a daemon look cut off.
+    /// Longest wait for changes in the store: with the time to gather changes, two fifths of the
+    /// usual revocation bound, so that three fifths are left when the store goes away.
     pub store_wait: Duration,
+    /// Longest wait for news from another daemon; costs a message within the failure domain.
+    pub mirror_wait: Duration,
     /// Part of the bound on a change, in percent, for which further changes are gathered before
     /// the store is asked again.
     pub store_gather_percent: u32,
@@ -87,7 +91,8 @@
             caller_idle: Duration::from_mins(2),
             stop_linger: Duration::from_millis(2_500),
             stop_reserve: Duration::from_millis(500),
-            store_wait: Duration::from_secs(2),
+            store_wait: Duration::from_millis(1_750),
+            mirror_wait: Duration::from_millis(500),
             store_gather_percent: 25,
             store_timeout: Duration::from_millis(700),
             log_every: 32,
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -8,6 +8,7 @@
 use actix_web::{App, HttpRequest, HttpResponse, rt, web};
 use lapismoor_core::Clock;
 use lapismoor_core::admission::StopPhase;
+use lapismoor_core::membership::DaemonRecord;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -20,7 +21,7 @@
 use crate::server;
 use crate::settings::EdgeSettings;
 use crate::status::Status;
-use crate::store::{StoreClient, follow};
+use crate::store::{StoreClient, announce, follow, telling};
 
 /// Time between looks at what is due: lapsed entries, idle connections.
 const HOUSEKEEPING: Duration = Duration::from_millis(250);
@@ -66,6 +67,21 @@
     serve_callers(&edge, listeners.callers, &accepting);
     serve_balancer(&edge, listeners.ready);
     serve_metrics(&edge, listeners.metrics);
+    let peer_address = listeners.peers.local_addr().context(ListenSnafu {
+        address: edge.settings.peer_address,
+        field: "peer_address",
+    })?;
+    rt::spawn(lapismoor_mirror::serve(
+        listeners.peers,
+        telling(&edge),
+        log_peer_error,
+    ));
+    let record = DaemonRecord {
+        id: edge.settings.daemon.clone(),
+        domain: edge.settings.domain.clone(),
+        address: peer_address,
+    };
+    rt::spawn(announce(Rc::clone(&edge), store.clone(), record));
     rt::spawn(follow(Rc::clone(&edge), store));
     rt::spawn(keep_house(Rc::clone(&edge)));
     log::info!(
@@ -129,6 +145,10 @@
     rt::spawn(server::serve(listener, app, idle, CancellationToken::new()));
 }
 
+fn log_peer_error(error: &std::io::Error) {
+    log::warn!(error:%; "peer_connection_failed");
+}
+
 async fn keep_house(edge: Rc<Edge>) {
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
--- /dev/null
+++ b/crates/edge/src/store/apply.rs
@@ -0,0 +1,77 @@
+//! What the daemon believes after each thing that the store says.
+
+use std::rc::Rc;
+
+use lapismoor_core::Moment;
+use lapismoor_core::membership::{DaemonRecord, DirectoryChange, TargetEntry};
+
+use super::fact::Fact;
+use crate::context::Edge;
+
+/// Takes one thing that the store says.
+pub(super) fn apply(edge: &Edge, now: Moment, fact: Fact) {
+    match fact {
+        Fact::Configuration(config) => apply_config(edge, *config),
+        Fact::UnreadableConfiguration { reason } => {
+            let kept = edge.config().map(|config| config.version());
+            log::error!(reason:%, version_kept = kept; "configuration_unreadable");
+        }
+        Fact::Target(entry) => apply_target(edge, now, entry),
+        Fact::UnreadableTarget { id, reason } => {
+            if edge.state.borrow_mut().directory.reject(now, &id) {
+                log::warn!(target:% = id, reason:%; "target_entry_unreadable");
+            }
+        }
+        Fact::Daemon(record) => apply_daemon(edge, record),
+        Fact::DaemonGone { id } => {
+            log::info!(peer:% = id; "daemon_gone");
+            edge.state
+                .borrow_mut()
+                .daemons
+                .retain(|daemon| daemon.id != id);
+        }
+        Fact::TargetGone { id } => {
+            let mut state = edge.state.borrow_mut();
+            if let Some(target) = state.directory.remove(now, &id) {
+                let standing = target.standing;
+                log::info!(target:% = id, standing:? = standing; "target_gone");
+            }
+        }
+    }
+}
+
+fn apply_config(edge: &Edge, config: lapismoor_core::routing::RoutingConfig) {
+    let mut state = edge.state.borrow_mut();
+    let known = state.config.as_ref().map(|config| config.version());
+    let version = config.version();
+    if known.is_some_and(|known| known >= version) {
+        if known != Some(version) {
+            log::warn!(version, version_kept = known; "configuration_older_ignored");
+        }
+        return;
+    }
+    let (routes, services, keys) = config.sizes();
+    log::info!(version, version_before = known, routes, services, keys; "configuration_in_force");
+    state.config = Some(Rc::new(config));
+}
+
+fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry) {
+    let mut state = edge.state.borrow_mut();
+    let id = entry.id.clone();
+    let change = state.directory.apply(now, entry);
+    if change == DirectoryChange::Same {
+        return;
+    }
+    log::info!(target:% = id, change:?; "target_listed");
+}
+
+fn apply_daemon(edge: &Edge, record: DaemonRecord) {
+    let daemons = &mut edge.state.borrow_mut().daemons;
+    match daemons.binary_search_by(|known| known.id.cmp(&record.id)) {
+        Ok(position) => daemons[position] = record,
+        Err(position) => {
+            log::info!(peer:% = record.id, domain:% = record.domain; "daemon_listed");
+            daemons.insert(position, record);
+        }
+    }
+}
--- a/crates/edge/src/store/client.rs
+++ b/crates/edge/src/store/client.rs
@@ -5,18 +5,20 @@
 
 use compact_str::CompactString;
 use futures::future::LocalBoxFuture;
+use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::membership::{DaemonRecord, StoreItem};
 use snafu::Snafu;
 
 use super::fact::Fact;
 
-/// Position in the store's history.
-pub type StoreRevision = u64;
+/// Number of a lease in the store.
+pub type LeaseId = u64;
 
-/// Facts up to a position in the store's history.
-#[derive(Debug, Clone, PartialEq)]
+/// Items up to a position in the store's history.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
     /// In the order of the store.
-    pub facts: Vec<Fact>,
+    pub items: Vec<StoreItem>,
     /// Position up to which they are complete.
     pub revision: StoreRevision,
 }
@@ -24,9 +26,12 @@
 /// Why a call brought nothing.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum StoreError {
-    /// The store dropped the history asked for.
-    #[snafu(display("the store no longer has this history; read everything again"))]
+    /// The history asked for is gone.
+    #[snafu(display("the history asked for is gone; everything is read again"))]
     HistoryGone,
+    /// The lease asked for has ended.
+    #[snafu(display("the lease has ended; a new one is taken"))]
+    LeaseEnded,
     /// The store did not answer, or refused.
     #[snafu(display("the store is not available: {reason}; check it and the network"))]
     Unavailable {
@@ -42,13 +47,19 @@
 }
 
 /// Future of a call.
-pub type StoreCall = LocalBoxFuture<'static, Result<Changes, StoreError>>;
+pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreError>>;
 
 /// Calls to the store.
 #[derive(Clone)]
 pub struct StoreClient {
     /// Reads everything as it is now.
-    pub list: Rc<dyn Fn() -> StoreCall>,
+    pub list: Rc<dyn Fn() -> StoreCall<Changes>>,
     /// Waits for changes after a position, for the time given at most.
-    pub watch: Rc<dyn Fn(StoreRevision, Duration) -> StoreCall>,
+    pub watch: Rc<dyn Fn(StoreRevision, Duration) -> StoreCall<Changes>>,
+    /// Announces a daemon under a new lease of the time given.
+    pub announce: Rc<dyn Fn(DaemonRecord, Duration) -> StoreCall<LeaseId>>,
+    /// Renews a lease.
+    pub renew: Rc<dyn Fn(LeaseId) -> StoreCall<()>>,
+    /// What an item says; none if it concerns nobody here.
+    pub decode: fn(&StoreItem) -> Option<Fact>,
 }
--- a/crates/edge/src/store/fact.rs
+++ b/crates/edge/src/store/fact.rs
@@ -1,8 +1,8 @@
 //! One thing that the store says.
 
 use compact_str::CompactString;
-use lapismoor_core::ids::TargetId;
-use lapismoor_core::membership::TargetEntry;
+use lapismoor_core::ids::{DaemonId, TargetId};
+use lapismoor_core::membership::{DaemonRecord, TargetEntry};
 use lapismoor_core::routing::RoutingConfig;
 
 /// One thing that the store says.
@@ -24,6 +24,13 @@
         /// Field and problem.
         reason: CompactString,
     },
+    /// A daemon announced itself.
+    Daemon(DaemonRecord),
+    /// A daemon's announcement ended.
+    DaemonGone {
+        /// The daemon.
+        id: DaemonId,
+    },
     /// An entry was removed.
     TargetGone {
         /// Its name in the store.
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -1,178 +1,174 @@
-//! Follows the store: reads all of it, then waits for changes, for as long as the daemon runs.
+//! Follows the store for as long as the daemon runs: reads all of it, then waits for changes, from
+//! the source that serves best.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use lapismoor_core::Moment;
-use lapismoor_core::membership::{DirectoryChange, TargetEntry};
+use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::membership::{Source, Sources, StoreItem};
 
-use super::client::{Changes, StoreClient, StoreError, StoreRevision};
-use super::fact::Fact;
+use super::apply::apply;
+use super::client::{StoreClient, StoreError};
+use super::question::{Asker, Told};
 use crate::context::Edge;
+use crate::millis::millis;
 
-/// First pause after a call failed.
+/// First pause after all sources failed.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause, so that the store's return is noticed within the time its entries take to
 /// return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-/// Wait of the first call after a failure: a short one shows soon whether the store is back.
-const PROBE_WAIT: Duration = Duration::ZERO;
 
 /// Where the loop stands.
 struct Progress {
+    sources: Sources,
+    source: Source,
     /// Position to go on from; none if everything must be read again.
     revision: Option<StoreRevision>,
+    /// Whether the last answer brought news, so that more may follow soon.
+    had_news: bool,
     /// Pause before the next try. Invariant: zero unless the last call failed.
     pause: Duration,
 }
 
 /// Follows the store until the daemon ends.
 pub(crate) async fn follow(edge: Rc<Edge>, client: StoreClient) {
+    let settings = &edge.settings;
+    let mut asker = Asker::new(client.clone());
     let mut progress = Progress {
+        sources: Sources::new(settings.daemon.clone(), settings.domain.clone()),
+        source: Source::Store,
         revision: None,
+        had_news: false,
         pause: Duration::ZERO,
     };
     loop {
-        let asked_at = edge.now();
-        let wait = if progress.pause.is_zero() {
-            edge.settings.tuning.store_wait
-        } else {
-            PROBE_WAIT
-        };
-        let call = match progress.revision {
-            None => (client.list)(),
-            Some(revision) => (client.watch)(revision, wait),
-        };
-        let limit = wait + edge.settings.tuning.store_timeout;
-        let result = tokio::time::timeout(limit, call).await;
-        match result.unwrap_or_else(|_| Err(timed_out())) {
-            Ok(changes) => {
-                let has_news = !changes.facts.is_empty();
-                progress.succeeded(&edge, asked_at, wait, changes);
-                if has_news {
-                    tokio::time::sleep(gathering(&edge)).await;
-                }
-            }
+        progress.choose_source(&edge);
+        let wait = progress.wait(&edge);
+        let told = asker
+            .ask(&edge, &progress.source, progress.revision, wait)
+            .await;
+        match told.and_then(|told| fresh_enough(&edge, told)) {
+            Ok(told) => progress.succeeded(&edge, &client, told).await,
             Err(error) => progress.failed(&edge, &error).await,
         }
     }
 }
 
-/// Time to gather further changes: they often come in quick succession, and each call is paid for.
-fn gathering(edge: &Edge) -> Duration {
-    let limits = &edge.settings.limits;
-    let bound = limits.config_within.min(limits.drain_within);
-    bound * edge.settings.tuning.store_gather_percent / 100
+/// Knowledge as old as that of a daemon which lost the store is no answer.
+fn fresh_enough(edge: &Edge, told: Told) -> Result<Told, StoreError> {
+    let age = edge.now().saturating_sub(told.known_at);
+    if age > usual_age(edge) {
+        return Err(StoreError::Unavailable {
+            reason: "what it knows is too old".into(),
+        });
+    }
+    Ok(told)
 }
 
-fn timed_out() -> StoreError {
-    StoreError::Unavailable {
-        reason: "no answer in time".into(),
-    }
+/// Greatest age of what is known while nothing fails.
+fn usual_age(edge: &Edge) -> Duration {
+    let tuning = &edge.settings.tuning;
+    tuning.store_wait + tuning.store_timeout
 }
 
 impl Progress {
-    fn succeeded(&mut self, edge: &Edge, asked_at: Moment, wait: Duration, changes: Changes) {
-        if !self.pause.is_zero() {
-            log::info!("store_back");
-            self.pause = Duration::ZERO;
-        }
-        // An answer without news was given at the end of the wait, with the state of that moment.
-        let is_quiet = self.revision.is_some() && changes.facts.is_empty();
-        let known_at = if is_quiet { asked_at + wait } else { asked_at };
-        let is_full = self.revision.is_none();
-        self.revision = Some(changes.revision);
+    fn choose_source(&mut self, edge: &Edge) {
         let now = edge.now();
-        let mut state = edge.state.borrow_mut();
-        state.freshness.confirm(known_at.min(now));
-        state.directory.store_back(now);
-        drop(state);
-        if is_full {
-            apply_full_list(edge, now, &changes);
-        }
-        for fact in changes.facts {
-            apply(edge, now, fact);
+        let state = edge.state.borrow();
+        let source = self.sources.choose(now, &state.daemons);
+        if source != self.source {
+            log::info!(source:% = name(&source), before:% = name(&self.source); "store_source");
+            self.source = source;
         }
     }
 
-    async fn failed(&mut self, edge: &Edge, error: &StoreError) {
-        if *error == StoreError::HistoryGone {
-            log::info!(revision = self.revision; "store_history_gone");
-            self.revision = None;
-            return;
+    /// A short call after a failure shows soon whether the store is back.
+    fn wait(&self, edge: &Edge) -> Duration {
+        let tuning = &edge.settings.tuning;
+        if !self.pause.is_zero() {
+            return Duration::ZERO;
         }
-        if self.pause.is_zero() {
-            log::warn!(error:%; "store_lost");
+        match self.source {
+            Source::Daemon(_) => tuning.mirror_wait,
+            Source::Store if self.had_news => tuning.store_wait.saturating_sub(gathering(edge)),
+            Source::Store => tuning.store_wait,
         }
-        let now = edge.now();
-        edge.state.borrow_mut().directory.store_lost(now);
-        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
-        tokio::time::sleep(self.pause).await;
     }
-}
 
-fn apply_full_list(edge: &Edge, now: Moment, changes: &Changes) {
-    let listed: Vec<TargetEntry> = changes.facts.iter().filter_map(target_entry).collect();
-    let mut state = edge.state.borrow_mut();
-    state.is_listed = true;
-    let missing = state.directory.missing_from(&listed);
-    drop(state);
-    for id in missing {
-        apply(edge, now, Fact::TargetGone { id });
+    async fn succeeded(&mut self, edge: &Edge, client: &StoreClient, told: Told) {
+        let now = edge.now();
+        if !self.pause.is_zero() {
+            log::info!(source:% = name(&self.source); "store_back");
+            self.pause = Duration::ZERO;
+        }
+        let items = self.take_in(edge, now, told);
+        self.had_news = !items.is_empty();
+        for fact in items.iter().filter_map(client.decode) {
+            apply(edge, now, fact);
+        }
+        if self.had_news {
+            edge.news.notify_waiters();
+            if self.source == Source::Store {
+                tokio::time::sleep(gathering(edge)).await;
+            }
+        }
     }
-}
 
-fn target_entry(fact: &Fact) -> Option<TargetEntry> {
-    match fact {
-        Fact::Target(entry) => Some(entry.clone()),
-        _ => None,
+    /// Returns what is new.
+    fn take_in(&mut self, edge: &Edge, now: Moment, told: Told) -> Vec<StoreItem> {
+        let mut state = edge.state.borrow_mut();
+        let gap = state.freshness.age(now).unwrap_or_default();
+        let away = gap.saturating_sub(usual_age(edge));
+        state.freshness.confirm(told.known_at.min(now));
+        state.directory.store_returned(now, away);
+        state.is_listed = true;
+        let items = if self.revision.is_none() {
+            state.mirror.replace(told.items, told.revision)
+        } else {
+            state.mirror.apply(&told.items, told.revision);
+            Some(told.items)
+        };
+        self.revision = state.mirror.revision();
+        items.unwrap_or_default()
     }
-}
 
-fn apply(edge: &Edge, now: Moment, fact: Fact) {
-    match fact {
-        Fact::Configuration(config) => apply_config(edge, *config),
-        Fact::UnreadableConfiguration { reason } => {
-            let kept = edge.config().map(|config| config.version());
-            log::error!(reason:%, version_kept = kept; "configuration_unreadable");
-        }
-        Fact::Target(entry) => apply_target(edge, now, entry),
-        Fact::UnreadableTarget { id, reason } => {
-            if edge.state.borrow_mut().directory.reject(now, &id) {
-                log::warn!(target:% = id, reason:%; "target_entry_unreadable");
+    async fn failed(&mut self, edge: &Edge, error: &StoreError) {
+        if *error == StoreError::HistoryGone {
+            log::info!(source:% = name(&self.source), revision = self.revision; "store_history_gone");
+            if self.revision.take().is_some() {
+                return;
             }
         }
-        Fact::TargetGone { id } => {
-            let mut state = edge.state.borrow_mut();
-            if let Some(target) = state.directory.remove(now, &id) {
-                let standing = target.standing;
-                log::info!(target:% = id, standing:? = standing; "target_gone");
-            }
+        let now = edge.now();
+        if self.pause.is_zero() {
+            log::warn!(
+                source:% = name(&self.source),
+                error:%,
+                store_age_ms = edge.config_age().map(millis);
+                "store_lost"
+            );
+        }
+        self.sources.failed(now, self.source.clone());
+        let next = self.sources.choose(now, &edge.state.borrow().daemons);
+        if next == self.source || next == Source::Store {
+            self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+            tokio::time::sleep(self.pause).await;
         }
     }
 }
 
-fn apply_config(edge: &Edge, config: lapismoor_core::routing::RoutingConfig) {
-    let mut state = edge.state.borrow_mut();
-    let known = state.config.as_ref().map(|config| config.version());
-    let version = config.version();
-    if known.is_some_and(|known| known >= version) {
-        if known != Some(version) {
-            log::warn!(version, version_kept = known; "configuration_older_ignored");
-        }
-        return;
-    }
-    let (routes, services, keys) = config.sizes();
-    log::info!(version, version_before = known, routes, services, keys; "configuration_in_force");
-    state.config = Some(Rc::new(config));
+/// Time to gather further changes: they often come in quick succession, and each call is paid for.
+fn gathering(edge: &Edge) -> Duration {
+    let limits = &edge.settings.limits;
+    let bound = limits.config_within.min(limits.drain_within);
+    bound * edge.settings.tuning.store_gather_percent / 100
 }
 
-fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry) {
-    let mut state = edge.state.borrow_mut();
-    let id = entry.id.clone();
-    let change = state.directory.apply(now, entry);
-    if change == DirectoryChange::Same {
-        return;
+fn name(source: &Source) -> &str {
+    match source {
+        Source::Store => "store",
+        Source::Daemon(daemon) => &daemon.id,
     }
-    log::info!(target:% = id, change:?; "target_listed");
 }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -1,9 +1,15 @@
-//! What the daemon learns from the platform's store.
+//! What the daemon learns from the platform's store, by itself or from other daemons.
 
+mod announce;
+mod apply;
 mod client;
 mod fact;
 mod follow;
+mod question;
+mod telling;
 
-pub use client::{Changes, StoreClient, StoreError, StoreRevision};
+pub(crate) use announce::announce;
+pub use client::{Changes, LeaseId, StoreCall, StoreClient, StoreError};
 pub use fact::Fact;
 pub(crate) use follow::follow;
+pub(crate) use telling::telling;
