Let no more plain calls in flight than targets can answer; refuse the rest at once

Change: a gate before each service: twice the targets' slots in flight by the daemon's share of the traffic, the rest waits for half of its aim, most urgent first, or is refused with a time to come back of a second or more. A request that failed may go to the same target again if there is no other.

--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -24,6 +24,11 @@
         Unreachable,
         /// All targets rejected it, or the retries of the service are used up.
         Busy,
+        /// It would wait here for longer than is of use.
+        Full {
+            /// When to come back.
+            come_back: Duration,
+        },
         /// The time left is too short for any answer.
         TooLate,
         /// This daemon is about to stop.
@@ -43,6 +48,7 @@
             Self::NoTarget => "no_target",
             Self::Unreachable => "unreachable",
             Self::Busy => "busy",
+            Self::Full { .. } => "full",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
         }
@@ -63,6 +69,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoRoute | Self::UnknownKey | Self::TooLate => None,
+            Self::Full { come_back } => Some(*come_back),
             Self::Stopping => Some(Duration::ZERO),
             Self::Busy | Self::Unreachable | Self::StaleConfiguration => Some(SOON),
             Self::NoConfiguration | Self::NoTarget => Some(LATER),
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -71,6 +71,8 @@
     pub request: u64,
     /// Targets that the request was sent to before.
     pub tried: &'a [TargetKey],
+    /// Whether one of these may get it again if there is no other: it answered, with a failure.
+    pub may_repeat_target: bool,
 }
 
 /// The target of a request.
@@ -283,8 +285,12 @@
         .filter_map(|target| target.load.fresh_others(now));
     let (sum, count) = fresh.fold((0_u32, 0_u32), |(sum, count), one| (sum + one, count + 1));
     let typical_others = f64::from(sum) / f64::from(count.max(1));
-    let is_reached =
+    let is_fresh =
         |target: &KnownTarget| target.breaker.is_closed(now) && !demand.tried.contains(&target.key);
+    let has_fresh = targets.iter().any(|target| is_fresh(target));
+    let may_repeat = demand.may_repeat_target && !has_fresh;
+    let is_reached =
+        |target: &KnownTarget| is_fresh(target) || (may_repeat && target.breaker.is_closed(now));
     let to_candidate = |target: &'a KnownTarget| Candidate {
         load: target.load.estimate(now, typical_others),
         is_usable: is_reached(target),
--- a/crates/core/tests/placement_by_parts.rs
+++ b/crates/core/tests/placement_by_parts.rs
@@ -54,6 +54,7 @@
         parts,
         request: 7,
         tried: &[],
+        may_repeat_target: false,
     };
     chooser.choose(now, directory, &demand)
 }
@@ -245,6 +246,26 @@
     );
 }
 
+/// All but one target of a small service have left, and the last one fails now and then.
+#[test]
+fn the_only_target_gets_a_failed_request_again_if_it_may() {
+    let directory = directory(1);
+    let service = "pool".into();
+    let only = directory.targets()[0].key;
+    let mut daemon = chooser("east");
+    for (may_repeat_target, expected) in [(true, Ok(only)), (false, Err(NoTarget::NoneReachable))] {
+        let demand = Demand {
+            service: &service,
+            parts: &[],
+            request: 7,
+            tried: &[only],
+            may_repeat_target,
+        };
+        let actual = daemon.choose(at(0), &directory, &demand);
+        assert_eq!(actual.map(|choice| choice.target), expected);
+    }
+}
+
 #[test]
 fn no_target_is_told_apart_from_none_reachable() {
     let mut daemon = chooser("east");
--- /dev/null
+++ b/crates/core/tests/plain_surge.rs
@@ -0,0 +1,120 @@
+//! Plain calls surge to twice of what three targets can answer.
+//!
+//! Each target runs six calls of 60 ms at once. Without a gate all calls wait at the targets, all
+//! are late, and the targets reset connections beyond their number. With it, as many as the
+//! targets can answer are answered on time and the rest is told at once when to come back.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lapismoor_core::admission::gate::{Entry, Gate, patience};
+use test_case::test_case;
+
+const SLOTS: usize = 18;
+const SERVICE: Duration = Duration::from_millis(60);
+const AIM: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Default, PartialEq)]
+struct Outcome {
+    on_time: usize,
+    late: usize,
+    refused: usize,
+    most_in_flight: usize,
+}
+
+/// Plays five seconds of evenly spaced calls against targets that answer in order of arrival.
+fn play(per_s: u32, limit: usize) -> Outcome {
+    let mut gate = Gate::default();
+    let mut outcome = Outcome::default();
+    let mut slots = vec![Duration::ZERO; SLOTS];
+    // Ends of calls in flight: when, when entered, when received.
+    let mut ends: BTreeMap<(Duration, u64), (Duration, Duration)> = BTreeMap::new();
+    let mut waiting: BTreeMap<u64, Duration> = BTreeMap::new();
+    let mut number = 0;
+    let mut start = |now: Duration, received: Duration, ends: &mut BTreeMap<_, _>| {
+        slots.sort();
+        let end = slots[0].max(now) + SERVICE;
+        slots[0] = end;
+        number += 1;
+        ends.insert((end, number), (now, received));
+    };
+    let gap = Duration::from_secs(1) / per_s;
+    for call in 0..per_s * 5 {
+        let now = gap * call;
+        while let Some(entry) = ends.first_entry().filter(|entry| entry.key().0 <= now) {
+            let ((end, _), (entered, received)) = entry.remove_entry();
+            if end.saturating_sub(received) <= AIM {
+                outcome.on_time += 1;
+            } else {
+                outcome.late += 1;
+            }
+            for ticket in gate.leave(limit, end.saturating_sub(entered)) {
+                let received = waiting.remove(&ticket).expect("it waited");
+                start(end, received, &mut ends);
+            }
+        }
+        match gate.arrive(limit, 2, patience(AIM, now, now)) {
+            Entry::Enter => start(now, now, &mut ends),
+            Entry::Wait(ticket) => {
+                waiting.insert(ticket, now);
+            }
+            Entry::Refuse { come_back } => {
+                assert!(come_back >= Duration::from_millis(250));
+                outcome.refused += 1;
+            }
+        }
+        outcome.most_in_flight = outcome.most_in_flight.max(gate.in_flight());
+    }
+    outcome
+}
+
+#[test]
+fn a_surge_is_answered_on_time_as_far_as_the_targets_can() {
+    let capacity = 5 * 300;
+    let actual = play(600, 2 * SLOTS);
+    assert!(actual.on_time * 100 >= capacity * 90, "{actual:?}");
+    assert!(actual.late * 100 <= capacity * 2, "{actual:?}");
+    assert_eq!(actual.most_in_flight, 2 * SLOTS);
+}
+
+/// What the gate is for: with no limit that binds, the same surge is late.
+#[test]
+fn the_same_surge_without_a_limit_is_late() {
+    let actual = play(600, 100_000);
+    assert!(actual.late > actual.on_time, "{actual:?}");
+}
+
+#[test_case(43; "a calm day")]
+#[test_case(250; "close to capacity")]
+fn nobody_is_refused_below_capacity(per_s: u32) {
+    let actual = play(per_s, 2 * SLOTS);
+    assert_eq!((actual.refused, actual.late), (0, 0));
+}
+
+#[test]
+fn the_most_urgent_enter_first() {
+    let mut gate = Gate::default();
+    let long = Duration::from_mins(1);
+    assert_eq!(gate.arrive(1, 1, long), Entry::Enter);
+    let tickets: Vec<Entry> = [2, 0, 1, 0].map(|rank| gate.arrive(1, rank, long)).into();
+    let mut order = Vec::new();
+    for _ in 0..4 {
+        order.extend(gate.leave(1, SERVICE).into_iter().map(Entry::Wait));
+    }
+    let expected = [1, 3, 2, 0].map(|position| tickets[position].clone());
+    assert_eq!(order, expected);
+}
+
+#[test]
+fn a_caller_that_leaves_gives_its_ticket_back() {
+    let mut gate = Gate::default();
+    let long = Duration::from_mins(1);
+    gate.arrive(1, 0, long);
+    let Entry::Wait(ticket) = gate.arrive(1, 0, long) else {
+        panic!("it waits");
+    };
+    assert!(gate.give_up(ticket));
+    assert!(gate.leave(1, SERVICE).is_empty());
+    assert_eq!((gate.in_flight(), gate.waiting()), (0, 0));
+    assert!(!gate.give_up(ticket));
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
+use crate::gates::Gates;
 use crate::http::Connections;
 use crate::metrics::Metrics;
 use crate::millis::millis;
@@ -30,6 +31,8 @@
     pub dialect: Dialect,
     /// What is known and was decided.
     pub state: RefCell<State>,
+    /// Requests in flight and waiting, by service.
+    pub gates: Gates,
     /// Idle connections to targets.
     pub connections: Connections,
     /// Counters and histograms.
@@ -88,6 +91,7 @@
             clock,
             dialect,
             state: RefCell::new(state),
+            gates: Gates::default(),
             connections,
             metrics: Metrics::default(),
             news: Notify::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod context;
 pub mod dialect;
+mod gates;
 pub mod http;
 mod listeners;
 mod logging;
--- a/crates/edge/src/serve/answers.rs
+++ b/crates/edge/src/serve/answers.rs
@@ -156,6 +156,7 @@
         status,
         sends = job.progress.sends + 1,
         config_version = job.config_version,
+        waited_ms = millis(job.waited),
         took_ms = millis(took);
         "served"
     );
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -334,6 +334,7 @@
         target:% = target_id,
         service:% = job.service,
         config_version = job.config_version,
+        waited_ms = millis(job.waited),
         config_age_ms = job.edge.config_age().map(millis),
         reason:? = choice.reason,
         load = choice.load,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -8,6 +8,7 @@
 use actix_web::HttpRequest;
 use bytes::Bytes;
 use lapismoor_core::Moment;
+use lapismoor_core::admission::Refusal;
 use lapismoor_core::ids::{ServiceId, TargetKey, WorkspaceId};
 use lapismoor_core::retry::{AttemptEnd, NextStep, Progress};
 use lapismoor_core::routing::{Choice, Demand, NoTarget, Route};
@@ -15,6 +16,7 @@
 use super::{Admitted, request_hash};
 use crate::context::Edge;
 use crate::dialect::Envelope;
+use crate::gates::Permit;
 
 /// Least time for which another attempt is worth while.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -58,7 +60,12 @@
     pub until: Moment,
     /// Targets that it was sent to, or was to be.
     pub tried: Vec<TargetKey>,
+    /// Whether the last attempt ended with a failure of the target's own.
+    pub may_repeat_target: bool,
     pub progress: Progress,
+    /// How long it waited before it could be sent.
+    pub waited: Duration,
+    permit: Option<Permit>,
     _guard: CallerGuard,
 }
 
@@ -90,7 +97,10 @@
             until: received + deadline.min(route.timeout),
             rank: rank.unwrap_or(route.rank),
             tried: Vec::new(),
+            may_repeat_target: false,
             progress: Progress::default(),
+            waited: Duration::ZERO,
+            permit: None,
             _guard: guard,
             edge,
             envelope,
@@ -102,6 +112,16 @@
         }
     }
 
+    /// Waits until the request may be in flight.
+    pub(crate) async fn enter(&mut self) -> Result<(), Refusal> {
+        let edge = Rc::clone(&self.edge);
+        let began = edge.now();
+        let entered = edge.enter(&self.service, &self.route, self.rank, self.received);
+        self.permit = Some(entered.await?);
+        self.waited = edge.now().saturating_sub(began);
+        Ok(())
+    }
+
     /// Time until the request is given up.
     pub(crate) fn time_left(&self) -> Duration {
         self.until.saturating_sub(self.edge.now())
@@ -120,6 +140,7 @@
             parts,
             request: request_hash(&self.envelope.id),
             tried: &self.tried,
+            may_repeat_target: self.may_repeat_target,
         };
         let mut state = self.edge.state.borrow_mut();
         let state = &mut *state;
@@ -130,6 +151,7 @@
     pub(crate) fn after(&mut self, target: TargetKey, end: &AttemptEnd) -> NextStep {
         self.progress.note(end);
         self.tried.push(target);
+        self.may_repeat_target = *end == AttemptEnd::Failed;
         let has_time = self.time_left() > MIN_TIME_LEFT;
         let take_budget = || *end == AttemptEnd::NotSent || self.edge.take_retry(&self.service);
         self.route
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -37,7 +37,10 @@
         Ok(body) => body,
         Err(error) => return answers::bad_body(&edge, &envelope.id, &error),
     };
-    let job = Job::new(edge, guard, admitted, envelope, &request, body, received);
+    let mut job = Job::new(edge, guard, admitted, envelope, &request, body, received);
+    if let Err(refusal) = job.enter().await {
+        return answers::refused(&job.edge, &job.envelope.id, received, &refusal);
+    }
     if job.route.is_stream() {
         stream::serve(job).await
     } else {
--- a/crates/edge/src/story/cause.rs
+++ b/crates/edge/src/story/cause.rs
@@ -18,7 +18,7 @@
 }
 
 /// Name, meaning and remedy of each cause.
-const CAUSES: [(&str, &str, &str); 25] = [
+const CAUSES: [(&str, &str, &str); 26] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -54,6 +54,11 @@
         "all targets tried rejected it, or the retries of the service were used up",
         "look at retries_left and the load of the service",
     ),
+    (
+        "full",
+        "it would have waited for longer than its aim allows",
+        "look at the load of the service and the number of its targets",
+    ),
     (
         "too_late",
         "the time left was too short",
