Keep what daemons tell each other of the store fresh enough for every bound

Change: readers ask each second and gather 8 % of the bound, their knowledge counts for 1.5 s, a silent one is given up after 0.7 s, another source is asked without a pause.

--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -76,6 +76,13 @@
         self.resting.push((source, now + REST));
     }
 
+    /// Whether this daemon reads the store for others.
+    #[must_use]
+    pub fn reads_for_others(&self, daemons: &[DaemonRecord]) -> bool {
+        let is_own = |daemon: &&DaemonRecord| daemon.id == self.own;
+        daemons.len() > SMALL_FLEET && self.readers(daemons).iter().any(is_own)
+    }
+
     /// All sources, the best first.
     fn preferred(&self, daemons: &[DaemonRecord]) -> Vec<Source> {
         let others = self.readers(daemons);
--- a/crates/core/tests/sources.rs
+++ b/crates/core/tests/sources.rs
@@ -41,6 +41,19 @@
     assert_eq!(actual, expected);
 }
 
+#[test]
+fn those_who_are_asked_know_it() {
+    for (size, expected) in [(7, 0), (90, 8)] {
+        let fleet = fleet(size);
+        let all = sources(&fleet);
+        let actual = all
+            .iter()
+            .filter(|one| one.reads_for_others(&fleet))
+            .count();
+        assert_eq!(actual, expected);
+    }
+}
+
 #[test]
 fn those_who_ask_stay_in_their_failure_domain_and_spread_over_its_readers() {
     let fleet = fleet(90);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -69,11 +69,21 @@
     /// Longest wait for changes in the store: with the time to gather changes, two fifths of the
     /// usual revocation bound, so that three fifths are left when the store goes away.
     pub store_wait: Duration,
-    /// Longest wait for news from another daemon; costs a message within the failure domain.
-    pub mirror_wait: Duration,
+    /// The same where other daemons depend on it; few daemons do this for all.
+    pub reader_wait: Duration,
     /// Part of the bound on a change, in percent, for which further changes are gathered before
     /// the store is asked again.
     pub store_gather_percent: u32,
+    /// The same where other daemons depend on it.
+    pub reader_gather_percent: u32,
+    /// Longest wait for news from another daemon; costs a message within the failure domain.
+    pub mirror_wait: Duration,
+    /// Time for an answer of another daemon, beside the wait.
+    pub mirror_timeout: Duration,
+    /// Greatest age of what another daemon knows. With a silent daemon after that, and another
+    /// one asked, a change is still known within the shortest bound on changes of a large fleet,
+    /// 3 s.
+    pub mirror_age: Duration,
     /// Time for an answer of the store, beside the wait.
     pub store_timeout: Duration,
     /// Served requests of which one is logged.
@@ -92,8 +102,12 @@
             stop_linger: Duration::from_millis(2_500),
             stop_reserve: Duration::from_millis(500),
             store_wait: Duration::from_millis(1_750),
-            mirror_wait: Duration::from_millis(500),
+            reader_wait: Duration::from_secs(1),
             store_gather_percent: 25,
+            reader_gather_percent: 8,
+            mirror_wait: Duration::from_millis(400),
+            mirror_timeout: Duration::from_millis(300),
+            mirror_age: Duration::from_millis(1_500),
             store_timeout: Duration::from_millis(700),
             log_every: 32,
         }
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -49,7 +49,7 @@
         let told = asker
             .ask(&edge, &progress.source, progress.revision, wait)
             .await;
-        match told.and_then(|told| fresh_enough(&edge, told)) {
+        match told.and_then(|told| fresh_enough(&edge, &progress.source, told)) {
             Ok(told) => progress.succeeded(&edge, &client, told).await,
             Err(error) => progress.failed(&edge, &error).await,
         }
@@ -57,9 +57,10 @@
 }
 
 /// Knowledge as old as that of a daemon which lost the store is no answer.
-fn fresh_enough(edge: &Edge, told: Told) -> Result<Told, StoreError> {
+fn fresh_enough(edge: &Edge, source: &Source, told: Told) -> Result<Told, StoreError> {
     let age = edge.now().saturating_sub(told.known_at);
-    if age > usual_age(edge) {
+    let is_from_daemon = matches!(source, Source::Daemon(_));
+    if is_from_daemon && age > edge.settings.tuning.mirror_age {
         return Err(StoreError::Unavailable {
             reason: "what it knows is too old".into(),
         });
@@ -90,13 +91,36 @@
         if !self.pause.is_zero() {
             return Duration::ZERO;
         }
+        let store_wait = if self.reads_for_others(edge) {
+            tuning.reader_wait
+        } else {
+            tuning.store_wait
+        };
         match self.source {
             Source::Daemon(_) => tuning.mirror_wait,
-            Source::Store if self.had_news => tuning.store_wait.saturating_sub(gathering(edge)),
-            Source::Store => tuning.store_wait,
+            Source::Store if self.had_news => store_wait.saturating_sub(self.gathering(edge)),
+            Source::Store => store_wait,
         }
     }
 
+    fn reads_for_others(&self, edge: &Edge) -> bool {
+        self.sources.reads_for_others(&edge.state.borrow().daemons)
+    }
+
+    /// Time to gather further changes: they often come in quick succession, and each call is paid
+    /// for.
+    fn gathering(&self, edge: &Edge) -> Duration {
+        let limits = &edge.settings.limits;
+        let tuning = &edge.settings.tuning;
+        let bound = limits.config_within.min(limits.drain_within);
+        let percent = if self.reads_for_others(edge) {
+            tuning.reader_gather_percent
+        } else {
+            tuning.store_gather_percent
+        };
+        bound * percent / 100
+    }
+
     async fn succeeded(&mut self, edge: &Edge, client: &StoreClient, told: Told) {
         let now = edge.now();
         if !self.pause.is_zero() {
@@ -111,7 +135,7 @@
         if self.had_news {
             edge.news.notify_waiters();
             if self.source == Source::Store {
-                tokio::time::sleep(gathering(edge)).await;
+                tokio::time::sleep(self.gathering(edge)).await;
             }
         }
     }
@@ -152,20 +176,13 @@
         }
         self.sources.failed(now, self.source.clone());
         let next = self.sources.choose(now, &edge.state.borrow().daemons);
-        if next == self.source || next == Source::Store {
+        if next == self.source {
             self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
             tokio::time::sleep(self.pause).await;
         }
     }
 }
 
-/// Time to gather further changes: they often come in quick succession, and each call is paid for.
-fn gathering(edge: &Edge) -> Duration {
-    let limits = &edge.settings.limits;
-    let bound = limits.config_within.min(limits.drain_within);
-    bound * edge.settings.tuning.store_gather_percent / 100
-}
-
 fn name(source: &Source) -> &str {
     match source {
         Source::Store => "store",
--- a/crates/edge/src/store/question.rs
+++ b/crates/edge/src/store/question.rs
@@ -42,7 +42,12 @@
         after: Option<StoreRevision>,
         wait: Duration,
     ) -> Result<Told, StoreError> {
-        let limit = wait + edge.settings.tuning.store_timeout;
+        let tuning = &edge.settings.tuning;
+        let limit = wait
+            + match source {
+                Source::Store => tuning.store_timeout,
+                Source::Daemon(_) => tuning.mirror_timeout,
+            };
         let asking = async {
             match source {
                 Source::Store => self.ask_store(edge, after, wait).await,
