--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -28,7 +28,11 @@
     revision: Option<StoreRevision>,
     /// Whether the last answer brought news, so that more may follow soon.
     had_news: bool,
-    /// Pause before the next try. Invariant: zero unless the last call failed.
+    /// Source of the last answer.
+    answered_by: Source,
+    /// Whether the last call failed.
+    is_lost: bool,
+    /// Pause before the next try of the same source. Invariant: zero unless the last call failed.
     pause: Duration,
 }
 
@@ -41,6 +45,8 @@
         source: Source::Store,
         revision: None,
         had_news: false,
+        answered_by: Source::Store,
+        is_lost: false,
         pause: Duration::ZERO,
     };
     loop {
@@ -78,11 +84,7 @@
     fn choose_source(&mut self, edge: &Edge) {
         let now = edge.now();
         let state = edge.state.borrow();
-        let source = self.sources.choose(now, &state.daemons);
-        if source != self.source {
-            log::info!(source:% = name(&source), before:% = name(&self.source); "store_source");
-            self.source = source;
-        }
+        self.source = self.sources.choose(now, &state.daemons);
     }
 
     /// A short call after a failure shows soon whether the store is back.
@@ -123,10 +125,12 @@
 
     async fn succeeded(&mut self, edge: &Edge, client: &StoreClient, told: Told) {
         let now = edge.now();
-        if !self.pause.is_zero() {
-            log::info!(source:% = name(&self.source); "store_back");
-            self.pause = Duration::ZERO;
+        if self.is_lost || self.answered_by != self.source {
+            log::info!(source:% = name(&self.source), was_lost = self.is_lost; "store_source");
         }
+        self.is_lost = false;
+        self.pause = Duration::ZERO;
+        self.answered_by = self.source.clone();
         let items = self.take_in(edge, now, told);
         self.had_news = !items.is_empty();
         for fact in items.iter().filter_map(client.decode) {
@@ -166,7 +170,7 @@
             }
         }
         let now = edge.now();
-        if self.pause.is_zero() {
+        if !self.is_lost {
             log::warn!(
                 source:% = name(&self.source),
                 error:%,
@@ -174,6 +178,7 @@
                 "store_lost"
             );
         }
+        self.is_lost = true;
         self.sources.failed(now, self.source.clone());
         let next = self.sources.choose(now, &edge.state.borrow().daemons);
         if next == self.source {
--- a/crates/edge/src/story/line.rs
+++ b/crates/edge/src/story/line.rs
@@ -10,7 +10,7 @@
     "configuration_unreadable",
     "started",
     "stopping",
-    "store_back",
+    "store_source",
     "store_history_gone",
     "store_lost",
     "log_lines_dropped",
