--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::millis::millis;
 use crate::settings::EdgeSettings;
+use crate::spans::Spans;
 
 /// The daemon.
 pub struct Edge {
@@ -35,6 +36,8 @@
     pub gates: Gates,
     /// Idle connections to targets.
     pub connections: Connections,
+    /// Spans of sampled requests.
+    pub spans: Option<Spans>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Notified when the store said something new.
@@ -73,7 +76,12 @@
 impl Edge {
     /// A daemon that knows nothing yet.
     #[must_use]
-    pub fn new(settings: EdgeSettings, clock: Clock, dialect: Dialect) -> Rc<Self> {
+    pub fn new(
+        settings: EdgeSettings,
+        spans: Option<Spans>,
+        clock: Clock,
+        dialect: Dialect,
+    ) -> Rc<Self> {
         let state = State {
             config: None,
             directory: Directory::default(),
@@ -93,6 +101,7 @@
             state: RefCell::new(state),
             gates: Gates::default(),
             connections,
+            spans,
             metrics: Metrics::default(),
             news: Notify::new(),
             stopping: CancellationToken::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod serve;
 mod server;
 mod settings;
+pub mod spans;
 mod start;
 mod status;
 mod store;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,13 +15,16 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     served: Histogram<f64>,
+    waited: Histogram<f64>,
+    first_event: Histogram<f64>,
+    pause: Histogram<f64>,
+    load_age: Histogram<f64>,
     refused: Counter<u64>,
     failed: Counter<u64>,
     attempts_failed: Counter<u64>,
     /// Connections opened to targets.
     pub connections_opened: Counter<u64>,
-    /// Calls to the store, by scope and outcome.
-    pub store_calls: Counter<u64>,
+    store_calls: Counter<u64>,
 }
 
 impl Default for Metrics {
@@ -39,18 +42,30 @@
             }
         };
         let meter = provider.meter("lapismoor");
-        let served = meter
-            .f64_histogram("lapismoor.request.duration")
-            .with_unit("s")
-            .with_description("Time from a request to the end of its answer")
-            .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-            .build();
+        let seconds = |name, description| {
+            let builder = meter.f64_histogram(name).with_unit("s");
+            let builder = builder.with_boundaries(LATENCY_BOUNDS_S.to_vec());
+            builder.with_description(description).build()
+        };
         let counter = |name, description| {
             let builder = meter.u64_counter(name);
             builder.with_description(description).build()
         };
         Self {
-            served,
+            served: seconds(
+                "lapismoor.request.duration",
+                "Time from a request to the end of its answer",
+            ),
+            waited: seconds("lapismoor.request.wait", "Wait before a request is sent"),
+            first_event: seconds(
+                "lapismoor.stream.first_event",
+                "Time to a stream's first event",
+            ),
+            pause: seconds("lapismoor.stream.pause", "Pause between events of a stream"),
+            load_age: seconds(
+                "lapismoor.load.age",
+                "Age of a target's load when it is chosen",
+            ),
             refused: counter("lapismoor.request.refused", "Requests refused, by reason"),
             failed: counter("lapismoor.request.failed", "Requests failed, by cause"),
             attempts_failed: counter("lapismoor.attempt.failed", "Attempts failed, by cause"),
@@ -71,6 +86,36 @@
         self.served.record(took.as_secs_f64(), &[]);
     }
 
+    /// Records a wait before a request was sent.
+    pub fn waited(&self, wait: Duration) {
+        self.waited.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Records the time to the first event of a stream.
+    pub fn first_event(&self, time: Duration) {
+        self.first_event.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Records a pause between events.
+    pub fn pause(&self, pause: Duration) {
+        self.pause.record(pause.as_secs_f64(), &[]);
+    }
+
+    /// Records the age of what was known of a target's load.
+    pub fn load_age(&self, age: Duration) {
+        self.load_age.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Counts a call to a source of the store's content.
+    pub fn store_call(&self, source: &'static str, is_answered: bool) {
+        let outcome = if is_answered { "answered" } else { "failed" };
+        let labels = [
+            KeyValue::new("source", source),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
     /// Counts a refusal.
     pub fn refused(&self, reason: &'static str) {
         self.refused.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -8,6 +8,7 @@
 use lapismoor_core::ids::{TargetId, TargetKey};
 use lapismoor_core::retry::{AnswerKind, AttemptEnd, judge_answer};
 use lapismoor_core::routing::Choice;
+use opentelemetry::trace::SpanKind;
 use tokio::time::sleep;
 
 use super::job::Job;
@@ -15,6 +16,7 @@
 use crate::dialect::{AnswerMarks, AttemptHeaders};
 use crate::http::{AnswerBody, Connection, ExchangeError};
 use crate::millis::millis;
+use crate::spans::Hop;
 
 /// Longest body of a failure that is kept to be passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -53,6 +55,8 @@
     pub head: ResponseHead,
     pub marks: AnswerMarks,
     pub body: AnswerBody,
+    /// Span of the attempt.
+    _hop: Option<Hop>,
     _guard: TargetGuard,
 }
 
@@ -90,6 +94,10 @@
         return Err(FailedAttempt::new(AttemptEnd::NotSent, "target_forgotten"));
     };
     let guard = TargetGuard::new(edge, choice.target);
+    let hop = begin_hop(job, &target_id);
+    if let Some(age) = edge.load_age(choice.target) {
+        edge.metrics.load_age(age);
+    }
     log_sent(job, choice, &target_id, last_event);
     let connection = match connect(job, choice.target, address).await {
         Ok(connection) => connection,
@@ -126,6 +134,7 @@
         head,
         marks,
         body,
+        _hop: hop,
         _guard: guard,
     };
     judge(job, answer).await
@@ -323,6 +332,14 @@
     head
 }
 
+fn begin_hop(job: &Job, target_id: &TargetId) -> Option<Hop> {
+    let request = job.hop.as_ref()?;
+    let spans = job.edge.spans.as_ref()?;
+    let mut hop = spans.start("attempt", SpanKind::Client, &request.traceparent());
+    hop.note("target", target_id.to_string());
+    Some(hop)
+}
+
 /// Lines of requests that are served at once are sampled by the request's id, so that all daemons
 /// log the same requests.
 fn log_sent(job: &Job, choice: &Choice, target_id: &TargetId, last_event: Option<u64>) {
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -12,11 +12,13 @@
 use lapismoor_core::ids::{ServiceId, TargetKey, WorkspaceId};
 use lapismoor_core::retry::{AttemptEnd, NextStep, Progress};
 use lapismoor_core::routing::{Choice, Demand, NoTarget, Route};
+use opentelemetry::trace::SpanKind;
 
 use super::{Admitted, request_hash};
 use crate::context::Edge;
 use crate::dialect::Envelope;
 use crate::gates::Permit;
+use crate::spans::Hop;
 
 /// Least time for which another attempt is worth while.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -66,6 +68,8 @@
     /// How long it waited before it could be sent.
     pub waited: Duration,
     permit: Option<Permit>,
+    /// Span of this hop; none if the request is not sampled.
+    pub hop: Option<Hop>,
     _guard: CallerGuard,
 }
 
@@ -101,6 +105,7 @@
             progress: Progress::default(),
             waited: Duration::ZERO,
             permit: None,
+            hop: begin_hop(&edge, &envelope.id, &service),
             _guard: guard,
             edge,
             envelope,
@@ -119,6 +124,7 @@
         let entered = edge.enter(&self.service, &self.route, self.rank, self.received);
         self.permit = Some(entered.await?);
         self.waited = edge.now().saturating_sub(began);
+        edge.metrics.waited(self.waited);
         Ok(())
     }
 
@@ -161,8 +167,7 @@
 
     /// Whether lines of success are logged: of a sample, and of what did not go well at once.
     pub(crate) fn is_logged(&self) -> bool {
-        let every = u64::from(self.edge.settings.tuning.log_every.max(1));
-        !self.tried.is_empty() || request_hash(&self.envelope.id).is_multiple_of(every)
+        !self.tried.is_empty() || is_sampled(&self.edge, &self.envelope.id)
     }
 
     /// Whether another attempt would be allowed after one that may have run.
@@ -171,6 +176,20 @@
     }
 }
 
+fn begin_hop(edge: &Edge, id: &str, service: &ServiceId) -> Option<Hop> {
+    let spans = edge.spans.as_ref().filter(|_| is_sampled(edge, id))?;
+    let mut hop = spans.begin("request", SpanKind::Server);
+    hop.note("request", id.to_owned());
+    hop.note("service", service.to_string());
+    Some(hop)
+}
+
+/// Whether a request belongs to the sample that all daemons draw alike.
+fn is_sampled(edge: &Edge, id: &str) -> bool {
+    let every = u64::from(edge.settings.tuning.log_every.max(1));
+    request_hash(id).is_multiple_of(every)
+}
+
 /// Headers of a caller that targets get, too.
 fn passed_on(edge: &Edge, headers: &HeaderMap) -> HeaderMap {
     let named = named_by_connection(headers);
--- a/crates/edge/src/serve/relay.rs
+++ b/crates/edge/src/serve/relay.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures::Stream;
+use lapismoor_core::Moment;
 use lapismoor_core::retry::{AttemptEnd, NextStep};
 use lapismoor_core::routing::Choice;
 use lapismoor_core::stream::EventSplitter;
@@ -19,6 +20,8 @@
     choice: Choice,
     answer: Answer,
     splitter: EventSplitter,
+    /// When the last event was passed on; none before the first.
+    passed_at: Option<Moment>,
 }
 
 enum Step {
@@ -34,6 +37,7 @@
             choice,
             answer,
             splitter,
+            passed_at: None,
         }
     }
 
@@ -95,11 +99,25 @@
             self.job.edge.target_heard(self.answer.target);
             let events = self.splitter.push(&bytes).map_err(|_| "event_too_large")?;
             if !events.is_empty() {
+                self.measure();
                 return Ok(Step::Events(events));
             }
         }
     }
 
+    /// Notes the time to the first event, or the pause before a later one.
+    fn measure(&mut self) {
+        let edge = &self.job.edge;
+        let now = edge.now();
+        match self.passed_at {
+            None => edge
+                .metrics
+                .first_event(now.saturating_sub(self.job.received)),
+            Some(before) => edge.metrics.pause(now.saturating_sub(before)),
+        }
+        self.passed_at = Some(now);
+    }
+
     async fn resume(&mut self, cause: &'static str) -> Result<(), &'static str> {
         self.splitter.drop_part();
         let mut failed = FailedAttempt {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon. The adapter fills in what it is told; the rest has defaults.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use lapismoor_core::ids::{DaemonId, FailureDomain};
@@ -24,6 +25,8 @@
     pub metrics_address: SocketAddr,
     /// Limits of the fleet.
     pub limits: FleetLimits,
+    /// File for spans as JSON lines; none writes no spans.
+    pub trace_file: Option<PathBuf>,
     /// How the daemon works.
     pub tuning: Tuning,
 }
--- a/crates/lapismoor/src/spans.rs
+++ b/crates/edge/src/spans.rs
@@ -12,13 +12,13 @@
     TracerProvider,
 };
 use opentelemetry::{Context, KeyValue};
-use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::error::{OTelSdkError, OTelSdkResult};
 use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider, SpanData, SpanExporter};
 use serde_json::json;
 
-/// Starts the spans of a daemon.
+/// Starts the spans of a daemon. A thread of its own writes them; spans beyond its queue are dropped.
 #[derive(Debug)]
-pub(crate) struct Spans {
+pub struct Spans {
     tracer: SdkTracer,
     daemon: String,
     /// Keeps the exporter alive.
@@ -26,7 +26,8 @@
 }
 
 /// A span on its way; it ends when dropped.
-pub(crate) struct Hop {
+#[derive(Debug)]
+pub struct Hop {
     span: opentelemetry_sdk::trace::Span,
 }
 
@@ -35,13 +36,13 @@
     ///
     /// # Errors
     /// When the file cannot be opened.
-    pub(crate) fn to_file(path: &Path, daemon: &str) -> io::Result<Self> {
+    pub fn to_file(path: &Path, daemon: &str) -> io::Result<Self> {
         let file = File::options().create(true).append(true).open(path)?;
         let exporter = FileExporter {
             file: Arc::new(Mutex::new(file)),
         };
         let provider = SdkTracerProvider::builder()
-            .with_simple_exporter(exporter)
+            .with_batch_exporter(exporter)
             .build();
         Ok(Self {
             tracer: provider.tracer("lapismoor"),
@@ -50,8 +51,15 @@
         })
     }
 
+    /// Starts a span of a trace of its own.
+    #[must_use]
+    pub fn begin(&self, name: &'static str, kind: SpanKind) -> Hop {
+        self.start(name, kind, "")
+    }
+
     /// Starts a span under the one that `traceparent` names.
-    pub(crate) fn start(&self, name: &'static str, kind: SpanKind, traceparent: &str) -> Hop {
+    #[must_use]
+    pub fn start(&self, name: &'static str, kind: SpanKind, traceparent: &str) -> Hop {
         let parent = parse(traceparent).map_or_else(Context::new, |parent| {
             Context::new().with_remote_span_context(parent)
         });
@@ -64,13 +72,14 @@
 
 impl Hop {
     /// The header for the next hop.
-    pub(crate) fn traceparent(&self) -> CompactString {
+    #[must_use]
+    pub fn traceparent(&self) -> CompactString {
         let context = self.span.span_context();
         format_compact!("00-{}-{}-01", context.trace_id(), context.span_id())
     }
 
     /// Notes something of the hop.
-    pub(crate) fn note(&mut self, name: &'static str, value: String) {
+    pub fn note(&mut self, name: &'static str, value: String) {
         self.span.set_attribute(KeyValue::new(name, value));
     }
 }
@@ -98,7 +107,8 @@
     async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
         let mut file = self.file.lock().unwrap_or_else(PoisonError::into_inner);
         for span in batch {
-            let _ = writeln!(file, "{}", line(&span));
+            writeln!(file, "{}", line(&span))
+                .map_err(|error| OTelSdkError::InternalFailure(error.to_string()))?;
         }
         Ok(())
     }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -1,6 +1,7 @@
 //! Puts a daemon together and runs it to its planned stop.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use crate::serve;
 use crate::server;
 use crate::settings::EdgeSettings;
+use crate::spans::Spans;
 use crate::status::Status;
 use crate::store::{StoreClient, announce, follow, telling};
 
@@ -42,6 +44,16 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The file for spans cannot be opened.
+    #[snafu(display(
+        "cannot open {} (trace file): {source}; check the path and its rights", path.display()
+    ))]
+    TraceFile {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
     /// Signals cannot be received.
     #[snafu(display("cannot receive signals: {source}; check the limits of the process"))]
     Signals {
@@ -62,7 +74,8 @@
     dialect: Dialect,
     store: StoreClient,
 ) -> Result<(), StartError> {
-    let edge = Edge::new(settings, clock, dialect);
+    let spans = open_spans(&settings)?;
+    let edge = Edge::new(settings, spans, clock, dialect);
     let accepting = CancellationToken::new();
     serve_callers(&edge, listeners.callers, &accepting);
     serve_balancer(&edge, listeners.ready);
@@ -94,6 +107,14 @@
     Ok(())
 }
 
+fn open_spans(settings: &EdgeSettings) -> Result<Option<Spans>, StartError> {
+    let Some(path) = &settings.trace_file else {
+        return Ok(None);
+    };
+    let spans = Spans::to_file(path, &settings.daemon);
+    spans.map(Some).context(TraceFileSnafu { path })
+}
+
 fn serve_callers(edge: &Rc<Edge>, listener: TcpListener, stop: &CancellationToken) {
     let for_requests = Rc::clone(edge);
     let app = App::new().default_service(web::to(move |request: HttpRequest, payload: Payload| {
--- a/crates/edge/src/store/question.rs
+++ b/crates/edge/src/store/question.rs
@@ -56,6 +56,11 @@
         };
         let result = tokio::time::timeout(limit, asking).await;
         let result = result.unwrap_or_else(|_| Err(unavailable(&"no answer in time")));
+        let name = match source {
+            Source::Store => "store",
+            Source::Daemon(_) => "daemon",
+        };
+        edge.metrics.store_call(name, result.is_ok());
         if result.is_err() {
             self.mirror = None;
         }
--- a/crates/lapismoor/src/lib.rs
+++ b/crates/lapismoor/src/lib.rs
@@ -5,7 +5,6 @@
 mod node;
 mod settings;
 mod shared;
-mod spans;
 mod start;
 
 pub use logging::start as start_logging;
--- a/crates/lapismoor/src/node/attempts.rs
+++ b/crates/lapismoor/src/node/attempts.rs
@@ -3,7 +3,7 @@
 use lapismoor_core::ids::AttemptId;
 use tokio::task::JoinHandle;
 
-use crate::spans::Hop;
+use lapismoor_edge::spans::Hop;
 
 struct Following {
     attempt: AttemptId,
--- a/crates/lapismoor/src/node/callers.rs
+++ b/crates/lapismoor/src/node/callers.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc::{Receiver, UnboundedReceiver, UnboundedSender};
 
 use super::is_end;
-use crate::spans::Hop;
+use lapismoor_edge::spans::Hop;
 
 /// First number of the callers that other daemons relay; own callers count from below.
 const FIRST_RELAYED: CallerId = 1 << 63;
--- a/crates/lapismoor/src/node/mod.rs
+++ b/crates/lapismoor/src/node/mod.rs
@@ -26,7 +26,7 @@
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
 use crate::shared::Shared;
-use crate::spans::{Hop, Spans};
+use lapismoor_edge::spans::{Hop, Spans};
 
 use attempts::Attempts;
 use callers::Callers;
--- a/crates/lapismoor/src/start.rs
+++ b/crates/lapismoor/src/start.rs
@@ -25,7 +25,7 @@
 use crate::node::{Node, NodeEvent, NodeParts, NodeSubmission};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::spans::Spans;
+use lapismoor_edge::spans::Spans;
 
 /// How long callers may take to read answers after the last request ended, in seconds.
 const LINGER_S: u64 = 30;
--- a/crates/lapismoord/src/main.rs
+++ b/crates/lapismoord/src/main.rs
@@ -19,7 +19,7 @@
     command: Command,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Bpaf)]
+#[derive(Debug, Clone, PartialEq, Eq, Bpaf)]
 enum Command {
     /// Run the daemon until SIGTERM (the default)
     #[bpaf(command)]
@@ -29,7 +29,14 @@
     Check,
     /// Run the daemon on the users' platform, whose settings the environment names
     #[bpaf(command)]
-    Platform,
+    Platform {
+        /// Write spans of sampled requests there, as JSON lines
+        #[bpaf(argument("FILE"))]
+        trace_file: Option<PathBuf>,
+        /// Log level: error, warn, info, debug
+        #[bpaf(argument("LEVEL"), fallback(log::LevelFilter::Info))]
+        log_level: log::LevelFilter,
+    },
 }
 
 /// Exit code for settings that are not valid.
@@ -37,8 +44,12 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
-    if arguments.command == Command::Platform {
-        return platform::run(arguments.settings);
+    if let Command::Platform {
+        trace_file,
+        log_level,
+    } = arguments.command
+    {
+        return platform::run(arguments.settings, trace_file, log_level);
     }
     let Some(path) = arguments.settings else {
         eprintln!("--settings FILE is missing; name the daemon's settings");
@@ -56,7 +67,7 @@
             println!("{} is valid", path.display());
             ExitCode::SUCCESS
         }
-        Command::Run | Command::Platform => run(settings),
+        _ => run(settings),
     }
 }
 
--- a/crates/lapismoord/src/platform.rs
+++ b/crates/lapismoord/src/platform.rs
@@ -9,21 +9,26 @@
 use crate::INVALID_SETTINGS;
 
 /// Runs the daemon with the settings at `path`, or those that the environment names.
-pub(crate) fn run(path: Option<PathBuf>) -> ExitCode {
+pub(crate) fn run(
+    path: Option<PathBuf>,
+    trace_file: Option<PathBuf>,
+    log_level: log::LevelFilter,
+) -> ExitCode {
     let named = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
     let Some(path) = path.or_else(named) else {
         eprintln!("no settings; set {SETTINGS_VARIABLE} or pass --settings FILE");
         return ExitCode::from(INVALID_SETTINGS);
     };
-    let settings = match SiteSettings::read(&path) {
+    let mut settings = match SiteSettings::read(&path) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(INVALID_SETTINGS);
         }
     };
+    settings.edge.trace_file = trace_file;
     let daemon = settings.edge.daemon.clone();
-    let logging = lapismoor_edge::start_logging(&daemon, log::LevelFilter::Info, std::io::stdout());
+    let logging = lapismoor_edge::start_logging(&daemon, log_level, std::io::stdout());
     if let Err(error) = logging {
         eprintln!("{error}");
         return ExitCode::FAILURE;
