Let the largest VMs read for the others; tell only the last configuration on

Change: announcements tell the VM's bandwidth, the largest read for the others; of several versions of a key only the last is kept, told on and decoded; readers gather for 15 % of the bound.

--- a/crates/core/src/membership/mirror.rs
+++ b/crates/core/src/membership/mirror.rs
@@ -74,12 +74,13 @@
         Some(gone.into_iter().chain(listed).collect())
     }
 
-    /// Takes changes up to a position.
-    pub fn apply(&mut self, changes: &[StoreItem], revision: StoreRevision) {
+    /// Takes changes up to a position. Returns the last one of each key.
+    pub fn apply(&mut self, changes: Vec<StoreItem>, revision: StoreRevision) -> Vec<StoreItem> {
         if self.revision.is_some_and(|known| known > revision) {
-            return;
+            return Vec::new();
         }
-        for item in changes {
+        let changes = last_of_each_key(changes);
+        for item in &changes {
             self.apply_one(item);
             self.changes.push_back((revision, item.clone()));
         }
@@ -89,16 +90,19 @@
             }
         }
         self.revision = Some(revision);
+        changes
     }
 
-    /// Changes after a position; none if they are no longer all there.
+    /// The last change of each key after a position; none if they are no longer all there.
     #[must_use]
     pub fn since(&self, after: StoreRevision) -> Option<Vec<StoreItem>> {
         if after < self.complete_from {
             return None;
         }
         let newer = self.changes.iter().filter(|(at, _)| *at > after);
-        Some(newer.map(|(_, item)| item.clone()).collect())
+        Some(last_of_each_key(
+            newer.map(|(_, item)| item.clone()).collect(),
+        ))
     }
 
     fn apply_one(&mut self, item: &StoreItem) {
@@ -115,3 +119,17 @@
         }
     }
 }
+
+/// Keeps the order of what is kept. A configuration is large, and only its last version counts.
+fn last_of_each_key(changes: Vec<StoreItem>) -> Vec<StoreItem> {
+    let mut seen: Vec<CompactString> = Vec::new();
+    let mut kept: Vec<StoreItem> = Vec::new();
+    for item in changes.into_iter().rev() {
+        if let Err(position) = seen.binary_search(&item.key) {
+            seen.insert(position, item.key.clone());
+            kept.push(item);
+        }
+    }
+    kept.reverse();
+    kept
+}
--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -6,6 +6,7 @@
 //! asks the next one, so that the loss of any daemon, or of the way to the store, costs freshness
 //! for a moment only.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
         pub domain: FailureDomain,
         /// Where other daemons reach it.
         pub address: SocketAddr,
+        /// Bandwidth of its VM, in megabits a second.
+        pub link_mbps: u32,
     }
 
     /// Whom to ask.
@@ -114,7 +117,9 @@
         for domain in domains {
             let members = daemons.iter().filter(|one| one.domain == *domain);
             let members: Vec<&DaemonRecord> = members.collect();
-            let order = home_order(READER_KEY, members.iter().map(|one| one.id.as_str()));
+            let mut order = home_order(READER_KEY, members.iter().map(|one| one.id.as_str()));
+            // A configuration of a thousand routes goes to all who ask within a moment.
+            order.sort_by_key(|position| Reverse(members[*position].link_mbps));
             let mut drawn: Vec<&DaemonRecord> = order
                 .iter()
                 .take(READERS)
--- a/crates/core/tests/sources.rs
+++ b/crates/core/tests/sources.rs
@@ -12,6 +12,7 @@
         id: format!("edge-{number:03}").into(),
         domain: DOMAINS[usize::from(number) % 4].into(),
         address: ([10, 0, 0, 1], 7_000 + number).into(),
+        link_mbps: 10,
     };
     (0..size).map(record).collect()
 }
@@ -113,3 +114,20 @@
         "there is nobody else"
     );
 }
+
+/// Two VMs of each failure domain have twenty times the bandwidth of the others.
+#[test]
+fn the_largest_vms_read_for_the_others() {
+    let mut fleet = fleet(90);
+    let large: Vec<usize> = (0..8).map(|number| number + 40).collect();
+    for position in &large {
+        fleet[*position].link_mbps = 200;
+    }
+    let all = sources(&fleet);
+    let readers = all
+        .iter()
+        .enumerate()
+        .filter(|(_, one)| one.reads_for_others(&fleet));
+    let actual: Vec<usize> = readers.map(|(position, _)| position).collect();
+    assert_eq!(actual, large);
+}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -21,6 +21,8 @@
     pub ready_address: SocketAddr,
     /// Address for other daemons.
     pub peer_address: SocketAddr,
+    /// Bandwidth of the VM, in megabits a second.
+    pub link_mbps: u32,
     /// Address of the metrics.
     pub metrics_address: SocketAddr,
     /// Limits of the fleet.
@@ -107,7 +109,7 @@
             store_wait: Duration::from_millis(1_750),
             reader_wait: Duration::from_secs(1),
             store_gather_percent: 25,
-            reader_gather_percent: 8,
+            reader_gather_percent: 15,
             mirror_wait: Duration::from_millis(400),
             mirror_timeout: Duration::from_millis(300),
             mirror_age: Duration::from_millis(1_500),
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -93,6 +93,7 @@
         id: edge.settings.daemon.clone(),
         domain: edge.settings.domain.clone(),
         address: peer_address,
+        link_mbps: edge.settings.link_mbps,
     };
     rt::spawn(announce(Rc::clone(&edge), store.clone(), record));
     rt::spawn(follow(Rc::clone(&edge), store));
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -153,13 +153,13 @@
         state.directory.store_returned(now, away);
         state.is_listed = true;
         let items = if self.revision.is_none() {
-            state.mirror.replace(told.items, told.revision)
+            let listed = state.mirror.replace(told.items, told.revision);
+            listed.unwrap_or_default()
         } else {
-            state.mirror.apply(&told.items, told.revision);
-            Some(told.items)
+            state.mirror.apply(told.items, told.revision)
         };
         self.revision = state.mirror.revision();
-        items.unwrap_or_default()
+        items
     }
 
     async fn failed(&mut self, edge: &Edge, error: &StoreError) {
