--- a/crates/core/src/admission/flight_limit.rs
+++ b/crates/core/src/admission/flight_limit.rs
@@ -21,7 +21,7 @@
 ) -> usize {
     let by_connections = CONNECTION_PART * share.of(service.max_connections);
     let limit_at = |target: &KnownTarget| {
-        if service.engine.is_some() {
+        if service.has_engines {
             return by_connections;
         }
         by_connections.min(FILL * share.of(target.entry.slots))
--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -29,8 +29,6 @@
             /// When to come back.
             come_back: Duration,
         },
-        /// The time left is too short for any answer.
-        TooLate,
         /// This daemon is about to stop.
         Stopping,
     }
@@ -49,7 +47,6 @@
             Self::Unreachable => "unreachable",
             Self::Busy => "busy",
             Self::Full { .. } => "full",
-            Self::TooLate => "too_late",
             Self::Stopping => "stopping",
         }
     }
@@ -68,7 +65,7 @@
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoRoute | Self::UnknownKey | Self::TooLate => None,
+            Self::NoRoute | Self::UnknownKey => None,
             Self::Full { come_back } => Some(*come_back),
             Self::Stopping => Some(Duration::ZERO),
             Self::Busy | Self::Unreachable | Self::StaleConfiguration => Some(SOON),
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -1,7 +1,6 @@
 //! The configuration in force, indexed for lookups.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use compact_str::CompactString;
 
@@ -15,16 +14,8 @@
         pub name: ServiceId,
         /// Connections that one target takes from all callers together.
         pub max_connections: u32,
-        /// What its model engines can do; none for plain services.
-        pub engine: Option<EngineProfile>,
-    }
-
-    /// What the model engines of a service have in common.
-    pub struct EngineProfile {
-        /// Requests that run at once.
-        pub slots: u32,
-        /// Tokens that fit in memory.
-        pub memory_tokens: u64,
+        /// Whether its targets are model engines.
+        pub has_engines: bool,
     }
 
     /// A workspace.
@@ -157,11 +148,4 @@
     pub fn sizes(&self) -> (usize, usize, usize) {
         (self.routes.len(), self.services.len(), self.keys.len())
     }
-
-    /// The longest timeout of any route.
-    #[must_use]
-    pub fn longest_timeout(&self) -> Duration {
-        let timeouts = self.routes.iter().map(|route| route.timeout);
-        timeouts.max().unwrap_or_default()
-    }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -9,7 +9,7 @@
 pub mod route;
 
 pub use choice::{Choice, Chooser, Demand, LoadBound, NoTarget, PromptPart, Reason};
-pub use config::{CallerLimits, EngineProfile, RoutingConfig, Service, Workspace};
+pub use config::{CallerLimits, RoutingConfig, Service, Workspace};
 pub use idle_limit::idle_limit;
 pub use load::{LoadView, ReportedLoad};
 pub use popularity::Popularity;
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod job;
+mod patience;
 mod plain;
 mod relay;
 mod stream;
--- a/crates/edge/src/story/cause.rs
+++ b/crates/edge/src/story/cause.rs
@@ -18,7 +18,7 @@
 }
 
 /// Name, meaning and remedy of each cause.
-const CAUSES: [(&str, &str, &str); 26] = [
+const CAUSES: [(&str, &str, &str); 25] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -59,11 +59,6 @@
         "it would have waited for longer than its aim allows",
         "look at the load of the service and the number of its targets",
     ),
-    (
-        "too_late",
-        "the time left was too short",
-        "look at the caller's deadline",
-    ),
     (
         "stopping",
         "the daemon was about to stop; the caller was sent elsewhere",
