--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -74,7 +74,9 @@
     /// Longest wait for changes in the store: with the time to gather changes, two fifths of the
     /// usual revocation bound, so that three fifths are left when the store goes away.
     pub store_wait: Duration,
-    /// The same where other daemons depend on it; few daemons do this for all.
+    /// Time for a list of everything: some megabytes in the largest fleets.
+    pub list_timeout: Duration,
+    /// As `store_wait` where other daemons depend on it; few daemons do this for all.
     pub reader_wait: Duration,
     /// Part of the bound on a change, in percent, for which further changes are gathered before
     /// the store is asked again.
@@ -107,6 +109,7 @@
             stop_linger: Duration::from_millis(2_500),
             stop_reserve: Duration::from_millis(500),
             store_wait: Duration::from_millis(1_750),
+            list_timeout: Duration::from_secs(4),
             reader_wait: Duration::from_secs(1),
             store_gather_percent: 25,
             reader_gather_percent: 15,
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -95,8 +95,8 @@
         address: peer_address,
         link_mbps: edge.settings.link_mbps,
     };
-    rt::spawn(announce(Rc::clone(&edge), store.clone(), record));
-    rt::spawn(follow(Rc::clone(&edge), store));
+    rt::spawn(follow(Rc::clone(&edge), store.clone()));
+    rt::spawn(announce(Rc::clone(&edge), store, record));
     rt::spawn(keep_house(Rc::clone(&edge)));
     log::info!(
         caller_address:% = edge.settings.caller_address,
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -20,12 +20,18 @@
 /// return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
+/// Time after the start for which a daemon that does not answer yet is taken to be starting as
+/// well. All daemons may have been killed at once; if each then read everything from the store, the
+/// store would answer nobody.
+const STARTING: Duration = Duration::from_millis(1_500);
+
 /// Where the loop stands.
 struct Progress {
     sources: Sources,
     source: Source,
     /// Position to go on from; none if everything must be read again.
     revision: Option<StoreRevision>,
+    started_at: Moment,
     /// Whether the last answer brought news, so that more may follow soon.
     had_news: bool,
     /// Source of the last answer.
@@ -44,11 +50,13 @@
         sources: Sources::new(settings.daemon.clone(), settings.domain.clone()),
         source: Source::Store,
         revision: None,
+        started_at: edge.now(),
         had_news: false,
         answered_by: Source::Store,
         is_lost: false,
         pause: Duration::ZERO,
     };
+    learn_daemons(&edge, &client).await;
     loop {
         progress.choose_source(&edge);
         let wait = progress.wait(&edge);
@@ -62,6 +70,21 @@
     }
 }
 
+/// Learns whom to ask. Announcements outlast a restart of all daemons.
+async fn learn_daemons(edge: &Edge, client: &StoreClient) {
+    let limit = edge.settings.tuning.store_timeout;
+    let known = tokio::time::timeout(limit, (client.daemons)()).await;
+    match known {
+        Ok(Ok(items)) => {
+            for fact in items.iter().filter_map(client.decode) {
+                apply(edge, edge.now(), fact);
+            }
+        }
+        Ok(Err(error)) => log::warn!(error:%; "daemons_not_read"),
+        Err(_) => log::warn!("daemons_not_read"),
+    }
+}
+
 /// Knowledge as old as that of a daemon which lost the store is no answer.
 fn fresh_enough(edge: &Edge, source: &Source, told: Told) -> Result<Told, StoreError> {
     let age = edge.now().saturating_sub(told.known_at);
@@ -105,6 +128,12 @@
         }
     }
 
+    /// Whether the daemon asked may be starting, as this one is.
+    fn may_be_starting(&self, now: Moment) -> bool {
+        let is_new = now.saturating_sub(self.started_at) < STARTING;
+        is_new && self.revision.is_none() && matches!(self.source, Source::Daemon(_))
+    }
+
     fn reads_for_others(&self, edge: &Edge) -> bool {
         self.sources.reads_for_others(&edge.state.borrow().daemons)
     }
@@ -179,6 +208,10 @@
             );
         }
         self.is_lost = true;
+        if self.may_be_starting(now) {
+            tokio::time::sleep(FIRST_PAUSE).await;
+            return;
+        }
         self.sources.failed(now, self.source.clone());
         let next = self.sources.choose(now, &edge.state.borrow().daemons);
         if next == self.source {
--- a/crates/edge/src/store/question.rs
+++ b/crates/edge/src/store/question.rs
@@ -43,11 +43,11 @@
         wait: Duration,
     ) -> Result<Told, StoreError> {
         let tuning = &edge.settings.tuning;
-        let limit = wait
-            + match source {
-                Source::Store => tuning.store_timeout,
-                Source::Daemon(_) => tuning.mirror_timeout,
-            };
+        let limit = match (after, source) {
+            (None, _) => tuning.list_timeout,
+            (Some(_), Source::Store) => wait + tuning.store_timeout,
+            (Some(_), Source::Daemon(_)) => wait + tuning.mirror_timeout,
+        };
         let asking = async {
             match source {
                 Source::Store => self.ask_store(edge, after, wait).await,
