--- a/crates/demo/src/process.rs
+++ b/crates/demo/src/process.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -80,14 +81,36 @@
     }
 }
 
-/// Free addresses on loopback, all different.
+/// First port given out and number of ports: below those that the kernel gives to outgoing
+/// connections (from 32,768 on), which would take a port between its choice and its use.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 20_000;
+/// Ports given out by this process.
+static GIVEN: AtomicU32 = AtomicU32::new(0);
+
+/// Free addresses on loopback, all different, also from those of earlier calls.
 ///
 /// # Errors
 /// When there are no free ports.
 pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::with_capacity(count);
-    for _ in 0..count {
-        listeners.push(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?);
+    let mut addresses = Vec::with_capacity(count);
+    for _ in 0..PORTS {
+        if addresses.len() == count {
+            return Ok(addresses);
+        }
+        let address = next_address();
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
     }
-    listeners.iter().map(TcpListener::local_addr).collect()
+    Err(io::Error::other("no free ports; end programs that listen"))
+}
+
+/// Processes start at different ports.
+fn next_address() -> SocketAddr {
+    let start = std::process::id().wrapping_mul(977);
+    let given = GIVEN.fetch_add(1, Ordering::Relaxed);
+    let offset = start.wrapping_add(given) % PORTS;
+    let port = u16::try_from(FIRST_PORT + offset).unwrap_or(u16::MAX);
+    (Ipv4Addr::LOCALHOST, port).into()
 }
