--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -96,6 +96,7 @@
             .map(|backend| u64::from(backend.weight))
             .sum();
         let hash = hash_parts(&[&key.to_le_bytes(), self.name.as_bytes()]);
+        // Without any weight there is nothing to split, and the first backend takes all.
         let mut point = hash.checked_rem(total).unwrap_or(0);
         for backend in &self.backends {
             let weight = u64::from(backend.weight);
