--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -7,7 +7,7 @@
 use lapismoor_core::failure::{Failure, FailureKind};
 
 use crate::errors;
-use crate::gateway::{CallerAnswer, Incoming};
+use crate::gateway::{CallerAnswer, Incoming, RelayedAnswer};
 use crate::trace::TraceContext;
 
 /// Media type of server-sent events.
@@ -28,10 +28,21 @@
                 .streaming(rest(incoming, is_events, trace))
         }
         Some(CallerAnswer::Fail(failure)) => errors::response(&failure, &trace.trace_id),
+        Some(CallerAnswer::Relayed(answer)) => relayed(answer),
         _ => errors::response(&broken_off(), &trace.trace_id),
     }
 }
 
+/// Passes the answer of a ticket's owner on as it is.
+fn relayed(answer: RelayedAnswer) -> HttpResponse {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    for header in answer.headers {
+        response.append_header(header);
+    }
+    response.body(answer.body)
+}
+
 /// The body after the head. A cut answer never looks whole: server-sent events end with an error
 /// event, other bodies with a broken connection.
 fn rest(
@@ -61,15 +72,26 @@
     Ok(Bytes::from(format!("event: error\ndata: {json}\n\n")))
 }
 
+/// An answer that came whole.
+pub(crate) enum Collected {
+    /// Of a target.
+    Answer(u16, Bytes),
+    /// Of a ticket's owner, ready for the caller.
+    Response(HttpResponse),
+}
+
 /// Collects an answer whole.
-pub(crate) async fn collect(mut incoming: Incoming) -> Result<(u16, Bytes), Failure> {
+pub(crate) async fn collect(mut incoming: Incoming) -> Result<Collected, Failure> {
     let mut status = StatusCode::OK.as_u16();
     let mut body = Vec::new();
     loop {
         match incoming.next().await {
             Some(CallerAnswer::Part(AnswerPart::Head { status: head, .. })) => status = head,
             Some(CallerAnswer::Part(AnswerPart::Data(bytes))) => body.extend_from_slice(&bytes),
-            Some(CallerAnswer::Part(AnswerPart::End)) => return Ok((status, Bytes::from(body))),
+            Some(CallerAnswer::Part(AnswerPart::End)) => {
+                return Ok(Collected::Answer(status, Bytes::from(body)));
+            }
+            Some(CallerAnswer::Relayed(answer)) => return Ok(Collected::Response(relayed(answer))),
             Some(CallerAnswer::Fail(failure)) => return Err(failure),
             _ => return Err(broken_off()),
         }
--- a/crates/caller/src/chat.rs
+++ b/crates/caller/src/chat.rs
@@ -1,20 +1,20 @@
 //! Chat completions and the list of models.
 
-use std::sync::Arc;
+use std::rc::Rc;
 
 use actix_web::http::StatusCode;
 use actix_web::{Error, HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use lapismoor_core::config::{Config, PoolKind, Profile};
-use lapismoor_core::ids;
 use lapismoor_core::request::{Request, Work};
 use serde_json::{Value, json};
 
+use crate::answer::Collected;
 use crate::auth::{self, Admitted};
 use crate::errors::Refusal;
-use crate::gateway::{Demand, Gateway, Incoming};
+use crate::gateway::{Demand, Gateway, Incoming, SentRequest};
 use crate::trace::TraceContext;
-use crate::{aggregate, answer, errors, headers};
+use crate::{aggregate, answer, errors, headers, prompt};
 
 /// `GET /v1/models`.
 pub(crate) async fn models(gateway: web::Data<Gateway>, request: HttpRequest) -> HttpResponse {
@@ -67,9 +67,15 @@
     document["stream"] = Value::Bool(true);
     document["model"] = Value::String(profile.model.to_string());
     let identity = headers::identity(request, &trace)?;
-    let request = Arc::new(chat_request(&admitted, request, &profile, &document)?);
+    let sent = Box::new(SentRequest::new(request, body));
+    let request = Rc::new(chat_request(&admitted, request, &profile, &document)?);
+    let demand = Demand::Request {
+        request,
+        identity,
+        sent,
+    };
     Ok(AcceptedChat {
-        incoming: gateway.demand(Demand::Request { request, identity }),
+        incoming: gateway.demand(demand),
         streamed,
         trace,
     })
@@ -123,9 +129,10 @@
         workspace: workspace.clone(),
         profile: profile.name.clone(),
         pool: profile.pool.clone(),
-        chat: chat.map(|chat| ids::chat_key(workspace, &chat)),
+        chat: Some(prompt::chat_key(workspace, chat.as_deref(), document)),
         work: Work::Chat {
             model: profile.model.clone(),
+            tokens: prompt::tokens(document),
         },
         class: profile.class,
         deadline: headers::deadline(request, profile, trace)?,
@@ -140,7 +147,8 @@
 /// The answer in one piece.
 async fn whole(incoming: Incoming, trace: &TraceContext) -> HttpResponse {
     let (status, events) = match answer::collect(incoming).await {
-        Ok(collected) => collected,
+        Ok(Collected::Answer(status, events)) => (status, events),
+        Ok(Collected::Response(response)) => return response,
         Err(failure) => return errors::response(&failure, &trace.trace_id),
     };
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -1,29 +1,57 @@
 //! What the HTTP handlers need of the daemon behind them.
 
+use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
-use actix_web::{HttpResponse, web};
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_web::http::{Method, Uri};
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::LocalBoxStream;
 use lapismoor_core::answer::AnswerPart;
 use lapismoor_core::config::Accepted;
-use lapismoor_core::event::Identity;
 use lapismoor_core::failure::Failure;
-use lapismoor_core::ids::{CallerId, RequestId, WorkspaceId};
-use lapismoor_core::request::Request;
-use lapismoor_engine::Flow;
-use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use lapismoor_core::ids::{RequestId, WorkspaceId};
+use lapismoor_core::request::{Identity, Request};
 
 use crate::settings::CallerSettings;
 
+/// A request as its caller sent it, for the daemon that owns its ticket.
+#[derive(Debug, Clone)]
+pub struct SentRequest {
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl SentRequest {
+    pub(crate) fn new(request: &HttpRequest, body: Bytes) -> Self {
+        Self {
+            method: request.method().clone(),
+            uri: request.uri().clone(),
+            headers: request.headers().clone(),
+            body,
+        }
+    }
+}
+
 /// What a caller wants.
 #[derive(Debug)]
 pub enum Demand {
     /// An answer to a request.
     Request {
         /// The request.
-        request: Arc<Request>,
+        request: Rc<Request>,
         /// How it is identified.
         identity: Identity,
+        /// The request as it was sent.
+        sent: Box<SentRequest>,
     },
     /// A ticket.
     Ticket {
@@ -32,6 +60,17 @@
     },
 }
 
+/// A final answer of the daemon that owns a ticket, passed on as it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// What a caller gets.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerAnswer {
@@ -41,20 +80,12 @@
     Fail(Failure),
     /// A ticket.
     Ticket(RequestId),
+    /// The whole answer of another daemon.
+    Relayed(RelayedAnswer),
 }
 
-/// A demand on its way to the daemon.
-#[derive(Debug)]
-pub struct Submission {
-    /// Number of the caller's connection.
-    pub caller: CallerId,
-    /// What it wants.
-    pub demand: Demand,
-    /// Where the answer goes.
-    pub answers: UnboundedSender<CallerAnswer>,
-    /// Bytes on their way to the caller.
-    pub flow: Arc<Flow>,
-}
+/// Answers as they come. Dropped before the end, they tell the daemon that the caller is gone.
+pub type Answers = LocalBoxStream<'static, CallerAnswer>;
 
 /// The daemon, as the HTTP handlers see it. Closures stand behind it.
 #[derive(Clone)]
@@ -62,43 +93,24 @@
     /// Settings.
     pub settings: CallerSettings,
     /// The configuration in force.
-    pub config: Arc<dyn Fn() -> Option<Arc<Accepted>> + Send + Sync>,
+    pub config: Rc<dyn Fn() -> Option<Arc<Accepted>>>,
     /// Whether new requests are taken.
-    pub is_ready: Arc<dyn Fn() -> bool + Send + Sync>,
+    pub is_ready: Rc<dyn Fn() -> bool>,
     /// Hands a demand to the daemon.
-    pub submit: Arc<dyn Fn(Submission) + Send + Sync>,
-    /// Tells the daemon that a caller is gone.
-    pub gone: Arc<dyn Fn(CallerId) + Send + Sync>,
-    /// Number of the next caller.
-    pub next_caller: Arc<AtomicU64>,
+    pub submit: Rc<dyn Fn(Demand) -> Answers>,
 }
 
-/// An answer on its way. Dropping it before the end tells the daemon that the caller is gone.
+/// An answer on its way.
 pub(crate) struct Incoming {
-    caller: CallerId,
-    answers: UnboundedReceiver<CallerAnswer>,
-    flow: Arc<Flow>,
-    gone: Arc<dyn Fn(CallerId) + Send + Sync>,
+    answers: Answers,
     is_over: bool,
 }
 
 impl Gateway {
     /// Hands a demand to the daemon.
     pub(crate) fn demand(&self, demand: Demand) -> Incoming {
-        let caller = self.next_caller.fetch_add(1, Ordering::Relaxed);
-        let (sender, answers) = mpsc::unbounded_channel();
-        let flow = Arc::new(Flow::default());
-        (self.submit)(Submission {
-            caller,
-            demand,
-            answers: sender,
-            flow: Arc::clone(&flow),
-        });
         Incoming {
-            caller,
-            answers,
-            flow,
-            gone: Arc::clone(&self.gone),
+            answers: (self.submit)(demand),
             is_over: false,
         }
     }
@@ -110,25 +122,18 @@
         if self.is_over {
             return None;
         }
-        let answer = self.answers.recv().await;
-        match &answer {
-            Some(CallerAnswer::Part(AnswerPart::Data(bytes))) => self.flow.take(bytes.len()),
-            Some(CallerAnswer::Part(AnswerPart::Head { .. })) => {}
-            _ => self.is_over = true,
-        }
+        let answer = self.answers.next().await;
+        let goes_on = matches!(
+            answer,
+            Some(CallerAnswer::Part(
+                AnswerPart::Data(_) | AnswerPart::Head { .. }
+            ))
+        );
+        self.is_over = !goes_on;
         answer
     }
 }
 
-impl Drop for Incoming {
-    fn drop(&mut self) {
-        self.flow.release();
-        if !self.is_over {
-            (self.gone)(self.caller);
-        }
-    }
-}
-
 /// Answers the balancer's health check.
 pub(crate) async fn health(gateway: web::Data<Gateway>) -> HttpResponse {
     if (gateway.is_ready)() {
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -6,7 +6,7 @@
 use actix_web::http::StatusCode;
 use compact_str::CompactString;
 use lapismoor_core::config::Profile;
-use lapismoor_core::event::Identity;
+use lapismoor_core::request::Identity;
 
 use crate::errors::{self, Refusal};
 use crate::trace::TraceContext;
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -9,6 +9,7 @@
 mod errors;
 mod gateway;
 mod headers;
+mod prompt;
 mod services;
 mod settings;
 mod tickets;
@@ -16,7 +17,7 @@
 
 pub use aggregate::whole_completion;
 pub use errors::{ErrorBody, ErrorDetail, status_of};
-pub use gateway::{CallerAnswer, Demand, Gateway, Submission};
+pub use gateway::{Answers, CallerAnswer, Demand, Gateway, RelayedAnswer, SentRequest};
 pub use settings::CallerSettings;
 pub use trace::TraceContext;
 
--- a/crates/caller/src/services.rs
+++ b/crates/caller/src/services.rs
@@ -1,6 +1,6 @@
 //! Calls of plain services.
 
-use std::sync::Arc;
+use std::rc::Rc;
 
 use actix_web::{Error, HttpRequest, HttpResponse, web};
 use compact_str::CompactString;
@@ -9,7 +9,7 @@
 
 use crate::auth;
 use crate::errors::Refusal;
-use crate::gateway::{Demand, Gateway, Incoming};
+use crate::gateway::{Demand, Gateway, Incoming, SentRequest};
 use crate::trace::TraceContext;
 use crate::{answer, headers};
 
@@ -41,6 +41,7 @@
     let pool = service_pool(config, service, &trace)?;
     let profile = profile(config, pool, request, &trace)?;
     let method = request.method().as_str();
+    let sent = Box::new(SentRequest::new(request, body.clone()));
     let accepted = Request {
         workspace: admitted.workspace.name.clone(),
         profile: profile.name.clone(),
@@ -60,8 +61,9 @@
     };
     let identity = headers::identity(request, &trace)?;
     let demand = Demand::Request {
-        request: Arc::new(accepted),
+        request: Rc::new(accepted),
         identity,
+        sent,
     };
     Ok((gateway.demand(demand), trace))
 }
--- a/crates/caller/src/settings.rs
+++ b/crates/caller/src/settings.rs
@@ -10,10 +10,6 @@
     pub max_body_bytes: usize,
     /// Largest sum of header names and values, in bytes.
     pub max_header_bytes: usize,
-    /// Threads that serve callers.
-    pub workers: usize,
-    /// Open connections a thread.
-    pub max_connections: usize,
 }
 
 impl Default for CallerSettings {
@@ -21,8 +17,6 @@
         Self {
             max_body_bytes: 2_097_152,
             max_header_bytes: 16_384,
-            workers: 2,
-            max_connections: 8_192,
         }
     }
 }
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
+use crate::admission::queue::{Queue, Waiting};
 use crate::clock::Moment;
+use crate::ids::WorkspaceId;
 
 /// Weight of one request in the average time that a request takes.
 const TIME_WEIGHT: f64 = 0.05;
@@ -21,6 +23,10 @@
 /// Part of the aim for which a request may wait; the answer needs the rest when targets are full.
 const PATIENCE_PERCENT: u32 = 50;
 
+/// Age from which on the least urgent work gets a turn now and then; longer than a request of any
+/// aim waits, so that it concerns work without one.
+const AGE_BOUND: Duration = Duration::from_secs(10);
+
 /// Number of a request that waits.
 pub type Ticket = u64;
 
@@ -30,7 +36,12 @@
         /// It may.
         Enter,
         /// It waits until its ticket is called.
-        Wait(Ticket),
+        Wait {
+            /// The ticket.
+            ticket: Ticket,
+            /// Less urgent request that had to give its place up.
+            evicted: Option<Ticket>,
+        },
         /// It would be answered too late.
         Refuse {
             /// When to come back.
@@ -38,10 +49,34 @@
         },
     }
 
-    /// A request that waits.
-    struct Waiter {
-        rank: u8,
-        ticket: Ticket,
+    /// What decides the turn of a request.
+    pub struct Claim {
+        /// Urgency, 0 first.
+        pub rank: u8,
+        /// Workspace; requests of the same rank share by workspace.
+        pub workspace: WorkspaceId,
+        /// Weight of the workspace.
+        pub weight: u32,
+    }
+
+    /// How many requests of a service this daemon takes.
+    pub struct GateLimits {
+        /// Requests in flight.
+        pub in_flight: usize,
+        /// Of these, those kept free for the most urgent rank.
+        pub reserved: usize,
+        /// Requests that wait.
+        pub waiting: usize,
+    }
+}
+
+impl GateLimits {
+    /// Requests in flight up to which one of a rank may enter.
+    fn for_rank(&self, rank: u8) -> usize {
+        if rank == 0 {
+            return self.in_flight;
+        }
+        self.in_flight.saturating_sub(self.reserved).max(1)
     }
 }
 
@@ -49,8 +84,7 @@
 #[derive(Debug, Clone)]
 pub struct Gate {
     in_flight: usize,
-    /// Invariant: sorted by rank, then by ticket.
-    waiting: Vec<Waiter>,
+    waiting: Queue<Ticket>,
     last_ticket: Ticket,
     /// Average time in flight, in seconds.
     time_s: f64,
@@ -60,7 +94,7 @@
     fn default() -> Self {
         Self {
             in_flight: 0,
-            waiting: Vec::new(),
+            waiting: Queue::new(AGE_BOUND),
             last_ticket: 0,
             time_s: ASSUMED_TIME.as_secs_f64(),
         }
@@ -68,42 +102,63 @@
 }
 
 impl Gate {
-    /// Takes a request of a rank, 0 first. `limit` requests may be in flight; a wait longer than
-    /// `patience` is of no use.
-    pub fn arrive(&mut self, limit: usize, rank: u8, patience: Duration) -> Entry {
-        let ahead = self.waiting.partition_point(|waiter| waiter.rank <= rank);
-        if self.in_flight < limit && ahead == 0 {
+    /// Takes a request. A wait longer than `patience` is of no use.
+    pub fn arrive(
+        &mut self,
+        now: Moment,
+        limits: &GateLimits,
+        claim: &Claim,
+        patience: Duration,
+    ) -> Entry {
+        let ahead = self
+            .waiting
+            .ahead_of(claim.rank, &claim.workspace, claim.weight);
+        if self.in_flight < limits.for_rank(claim.rank) && ahead == 0 {
             self.in_flight += 1;
             return Entry::Enter;
         }
-        let wait = self.wait_behind(ahead, limit);
-        if wait > patience {
-            let all = self.wait_behind(self.waiting.len(), limit);
-            let come_back = all.clamp(SOONEST_RETURN, LATEST_RETURN);
-            return Entry::Refuse { come_back };
+        if self.wait_behind(ahead, limits.for_rank(claim.rank)) > patience {
+            return self.refuse(limits);
+        }
+        let mut evicted = None;
+        if self.waiting.len() >= limits.waiting {
+            let Some(less_urgent) = self.waiting.evict_below(claim.rank) else {
+                return self.refuse(limits);
+            };
+            evicted = Some(less_urgent.item);
         }
         self.last_ticket += 1;
         let ticket = self.last_ticket;
-        self.waiting.insert(ahead, Waiter { rank, ticket });
-        Entry::Wait(ticket)
+        self.waiting.push(Waiting {
+            rank: claim.rank,
+            workspace: claim.workspace.clone(),
+            weight: claim.weight,
+            since: now,
+            item: ticket,
+        });
+        Entry::Wait { ticket, evicted }
     }
 
     /// Takes the end of a request that was in flight for `took`. Returns those that enter now.
-    pub fn leave(&mut self, limit: usize, took: Duration) -> Vec<Ticket> {
+    pub fn leave(&mut self, now: Moment, limits: &GateLimits, took: Duration) -> Vec<Ticket> {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.time_s += TIME_WEIGHT * (took.as_secs_f64() - self.time_s);
-        let free = limit.saturating_sub(self.in_flight);
-        let entering = free.min(self.waiting.len());
-        self.in_flight += entering;
-        let called = self.waiting.drain(..entering);
-        called.map(|waiter| waiter.ticket).collect()
+        let mut called = Vec::new();
+        while let Some(rank) = self.waiting.next_rank(now)
+            && self.in_flight < limits.for_rank(rank)
+        {
+            let Some(next) = self.waiting.pop(now) else {
+                break;
+            };
+            self.in_flight += 1;
+            called.push(next.item);
+        }
+        called
     }
 
     /// Takes back a ticket that was not called. False if it was.
     pub fn give_up(&mut self, ticket: Ticket) -> bool {
-        let before = self.waiting.len();
-        self.waiting.retain(|waiter| waiter.ticket != ticket);
-        self.waiting.len() < before
+        self.waiting.remove_where(|waiting| *waiting == ticket) > 0
     }
 
     /// Requests in flight.
@@ -118,6 +173,13 @@
         self.waiting.len()
     }
 
+    fn refuse(&self, limits: &GateLimits) -> Entry {
+        let all = self.wait_behind(self.waiting.len(), limits.in_flight);
+        Entry::Refuse {
+            come_back: all.clamp(SOONEST_RETURN, LATEST_RETURN),
+        }
+    }
+
     /// Expected wait of a request with `ahead` others before it.
     #[expect(clippy::cast_precision_loss)]
     fn wait_behind(&self, ahead: usize, limit: usize) -> Duration {
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -2,10 +2,15 @@
 
 pub mod flight_limit;
 pub mod gate;
+pub mod queue;
+pub mod rate_limit;
 pub mod refusal;
 pub mod stop_plan;
+pub mod workspaces;
 
-pub use flight_limit::flight_limit;
-pub use gate::Gate;
+pub use flight_limit::gate_limits;
+pub use gate::{Claim, Gate};
+pub use rate_limit::RateLimit;
 pub use refusal::Refusal;
 pub use stop_plan::{StopPhase, StopPlan};
+pub use workspaces::Workspaces;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -1,16 +1,15 @@
 //! Order in which waiting requests are served.
 //!
-//! Classes go strictly by urgency; within a class, workspaces share by weight. Once the oldest
-//! background request has waited for the age bound, every [`AGED_TURN`]th turn is its class's.
+//! Ranks go strictly by urgency; within a rank, workspaces share by weight. Once the oldest request
+//! of the least urgent rank has waited for the age bound, every [`AGED_TURN`]th turn is its rank's.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::ids::WorkspaceId;
-use crate::request::Class;
 
-/// Turns of which one goes to background work that reached the age bound.
+/// Turns of which one goes to the least urgent work that reached the age bound.
 const AGED_TURN: u32 = 8;
 /// Virtual cost of a request of a workspace of weight 1.
 const UNIT_COST: u64 = 1 << 20;
@@ -18,8 +17,8 @@
 /// A waiting item and what decides its turn.
 #[derive(Debug, Clone)]
 pub struct Waiting<T> {
-    /// Urgency.
-    pub class: Class,
+    /// Urgency, 0 first.
+    pub rank: u8,
     /// Workspace.
     pub workspace: WorkspaceId,
     /// Weight of the workspace.
@@ -33,6 +32,7 @@
 #[derive(Debug, Clone)]
 struct Flow<T> {
     workspace: WorkspaceId,
+    weight: u32,
     /// Virtual time at which the flow's next item is due.
     due: u64,
     items: VecDeque<Waiting<T>>,
@@ -40,6 +40,7 @@
 
 #[derive(Debug, Clone)]
 struct Lane<T> {
+    rank: u8,
     /// Invariant: sorted by workspace; no flow is empty.
     flows: Vec<Flow<T>>,
     /// Virtual time of the item served last.
@@ -47,21 +48,22 @@
     length: usize,
 }
 
-/// The queue of a pool.
+/// A queue.
 #[derive(Debug, Clone)]
 pub struct Queue<T> {
-    lanes: [Lane<T>; Class::ALL.len()],
-    background_age: Duration,
+    /// Invariant: sorted by rank.
+    lanes: Vec<Lane<T>>,
+    age_bound: Duration,
     turns_since_aged: u32,
 }
 
 impl<T> Queue<T> {
     /// An empty queue.
     #[must_use]
-    pub fn new(background_age: Duration) -> Self {
+    pub fn new(age_bound: Duration) -> Self {
         Self {
-            lanes: std::array::from_fn(|_| Lane::new()),
-            background_age,
+            lanes: Vec::new(),
+            age_bound,
             turns_since_aged: 0,
         }
     }
@@ -78,103 +80,114 @@
         self.len() == 0
     }
 
-    /// Number of waiting items at least as urgent as `class`.
+    /// Items that would be served before one more item of a workspace.
     #[must_use]
-    pub fn ahead_of(&self, class: Class) -> usize {
-        self.lanes[..=class.rank()]
-            .iter()
-            .map(|lane| lane.length)
-            .sum()
+    pub fn ahead_of(&self, rank: u8, workspace: &str, weight: u32) -> usize {
+        let lanes = self.lanes.iter().take_while(|lane| lane.rank <= rank);
+        let ahead = lanes.map(|lane| {
+            if lane.rank < rank {
+                lane.length
+            } else {
+                lane.ahead_of(workspace, weight)
+            }
+        });
+        ahead.sum()
     }
 
     /// Adds an item at the end of its workspace's flow.
     pub fn push(&mut self, waiting: Waiting<T>) {
-        self.lanes[waiting.class.rank()].push(waiting);
+        let found = self
+            .lanes
+            .binary_search_by_key(&waiting.rank, |lane| lane.rank);
+        let position = found.unwrap_or_else(|position| {
+            self.lanes.insert(position, Lane::new(waiting.rank));
+            position
+        });
+        self.lanes[position].push(waiting);
     }
 
-    /// Puts back an item that was popped and could not be served.
-    pub fn put_back(&mut self, waiting: Waiting<T>) {
-        self.lanes[waiting.class.rank()].put_back(waiting);
+    /// Rank of the item whose turn it is.
+    #[must_use]
+    pub fn next_rank(&self, now: Moment) -> Option<u8> {
+        let first = || self.lanes.iter().position(|lane| lane.length > 0);
+        let lane = self.aged_lane(now).or_else(first)?;
+        Some(self.lanes[lane].rank)
     }
 
     /// Takes the item whose turn it is.
     pub fn pop(&mut self, now: Moment) -> Option<Waiting<T>> {
-        if self.is_aged_turn(now) {
+        if let Some(lane) = self.aged_lane(now) {
             self.turns_since_aged = 0;
-            return self.lanes[Class::Background.rank()].pop();
+            return self.lanes[lane].pop();
         }
         self.turns_since_aged = self.turns_since_aged.saturating_add(1);
         self.lanes.iter_mut().find_map(Lane::pop)
     }
 
-    /// Takes the newest item of the least urgent class, if it is less urgent than `class`.
-    pub fn evict_below(&mut self, class: Class) -> Option<Waiting<T>> {
-        let lanes = &mut self.lanes[class.rank() + 1..];
-        lanes.iter_mut().rev().find_map(Lane::pop_newest)
+    /// Takes the newest item of the least urgent rank, if it is less urgent than `rank`.
+    pub fn evict_below(&mut self, rank: u8) -> Option<Waiting<T>> {
+        let lanes = self.lanes.iter_mut().rev();
+        lanes
+            .take_while(|lane| lane.rank > rank)
+            .find_map(Lane::pop_newest)
     }
 
-    /// Removes and returns the items for which `gone` holds.
-    pub fn remove_where(&mut self, mut gone: impl FnMut(&T) -> bool) -> Vec<Waiting<T>> {
-        let mut removed = Vec::new();
-        for lane in &mut self.lanes {
-            lane.remove_where(&mut gone, &mut removed);
-        }
-        removed
+    /// Removes the items for which `is_gone` holds; returns how many.
+    pub fn remove_where(&mut self, mut is_gone: impl FnMut(&T) -> bool) -> usize {
+        let lanes = self.lanes.iter_mut();
+        lanes.map(|lane| lane.remove_where(&mut is_gone)).sum()
     }
 
-    /// The first item for which `wanted` holds.
-    pub fn find_mut(&mut self, mut wanted: impl FnMut(&T) -> bool) -> Option<&mut T> {
-        self.lanes
-            .iter_mut()
-            .flat_map(|lane| lane.flows.iter_mut())
-            .flat_map(|flow| flow.items.iter_mut())
-            .map(|waiting| &mut waiting.item)
-            .find(|item| wanted(item))
-    }
-
-    fn is_aged_turn(&self, now: Moment) -> bool {
-        let oldest = self.lanes[Class::Background.rank()].oldest();
-        let aged = oldest.is_some_and(|since| now.saturating_sub(since) >= self.background_age);
-        aged && self.turns_since_aged + 1 >= AGED_TURN
+    fn aged_lane(&self, now: Moment) -> Option<usize> {
+        if self.turns_since_aged + 1 < AGED_TURN {
+            return None;
+        }
+        let least_urgent = self.lanes.iter().rposition(|lane| lane.length > 0)?;
+        let oldest = self.lanes[least_urgent].oldest()?;
+        (now.saturating_sub(oldest) >= self.age_bound).then_some(least_urgent)
     }
 }
 
 impl<T> Lane<T> {
-    fn new() -> Self {
+    fn new(rank: u8) -> Self {
         Self {
+            rank,
             flows: Vec::new(),
             virtual_time: 0,
             length: 0,
         }
     }
 
-    fn flow_mut(&mut self, waiting: &Waiting<T>) -> &mut Flow<T> {
+    /// For each turn of a workspace, each other one gets turns in proportion to its weight.
+    fn ahead_of(&self, workspace: &str, weight: u32) -> usize {
+        let own = self.flows.iter().find(|flow| flow.workspace == workspace);
+        let own = own.map_or(0, |flow| flow.items.len());
+        let others = self.flows.iter().filter(|flow| flow.workspace != workspace);
+        let turns = |flow: &Flow<T>| {
+            let share = (own + 1) * flow.weight.max(1) as usize;
+            share.div_ceil(weight.max(1) as usize)
+        };
+        own + others
+            .map(|flow| flow.items.len().min(turns(flow)))
+            .sum::<usize>()
+    }
+
+    fn push(&mut self, waiting: Waiting<T>) {
         let found = self
             .flows
             .binary_search_by(|flow| flow.workspace.cmp(&waiting.workspace));
         let position = found.unwrap_or_else(|position| {
             let flow = Flow {
                 workspace: waiting.workspace.clone(),
+                weight: waiting.weight,
                 due: self.virtual_time + cost(waiting.weight),
                 items: VecDeque::new(),
             };
             self.flows.insert(position, flow);
             position
         });
-        &mut self.flows[position]
-    }
-
-    fn push(&mut self, waiting: Waiting<T>) {
         self.length += 1;
-        self.flow_mut(&waiting).items.push_back(waiting);
-    }
-
-    fn put_back(&mut self, waiting: Waiting<T>) {
-        self.length += 1;
-        let virtual_time = self.virtual_time;
-        let flow = self.flow_mut(&waiting);
-        flow.due = flow.due.min(virtual_time);
-        flow.items.push_front(waiting);
+        self.flows[position].items.push_back(waiting);
     }
 
     fn pop(&mut self) -> Option<Waiting<T>> {
@@ -207,19 +220,14 @@
         self.flows.iter().filter_map(first).min()
     }
 
-    fn remove_where(&mut self, gone: &mut impl FnMut(&T) -> bool, removed: &mut Vec<Waiting<T>>) {
+    fn remove_where(&mut self, is_gone: &mut impl FnMut(&T) -> bool) -> usize {
+        let before = self.length;
         for flow in &mut self.flows {
-            let items = std::mem::take(&mut flow.items);
-            for waiting in items {
-                if gone(&waiting.item) {
-                    removed.push(waiting);
-                } else {
-                    flow.items.push_back(waiting);
-                }
-            }
+            flow.items.retain(|waiting| !is_gone(&waiting.item));
         }
         self.flows.retain(|flow| !flow.items.is_empty());
         self.length = self.flows.iter().map(|flow| flow.items.len()).sum();
+        before - self.length
     }
 }
 
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/admission/rate_limit.rs
@@ -1,4 +1,4 @@
-//! Rate limits that need no agreement.
+//! A rate limit that needs no agreement.
 
 use std::time::Duration;
 
--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -29,6 +29,16 @@
             /// When to come back.
             come_back: Duration,
         },
+        /// The workspace is at its limit.
+        WorkspaceLimit {
+            /// When to come back.
+            come_back: Duration,
+        },
+        /// The request crashed targets.
+        CrashesTargets {
+            /// How long it is refused.
+            banned_for: Duration,
+        },
         /// This daemon is about to stop.
         Stopping,
     }
@@ -47,6 +57,8 @@
             Self::Unreachable => "unreachable",
             Self::Busy => "busy",
             Self::Full { .. } => "full",
+            Self::WorkspaceLimit { .. } => "workspace_limit",
+            Self::CrashesTargets { .. } => "crashes_targets",
             Self::Stopping => "stopping",
         }
     }
@@ -57,6 +69,7 @@
         match self {
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
+            Self::WorkspaceLimit { .. } => 429,
             _ => 503,
         }
     }
@@ -66,7 +79,8 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoRoute | Self::UnknownKey => None,
-            Self::Full { come_back } => Some(*come_back),
+            Self::Full { come_back } | Self::WorkspaceLimit { come_back } => Some(*come_back),
+            Self::CrashesTargets { banned_for } => Some(*banned_for),
             Self::Stopping => Some(Duration::ZERO),
             Self::Busy | Self::Unreachable | Self::StaleConfiguration => Some(SOON),
             Self::NoConfiguration | Self::NoTarget => Some(LATER),
--- a/crates/core/src/change.rs
+++ b/crates/core/src/config/change.rs
@@ -7,11 +7,9 @@
 
 use bytes::Bytes;
 
-use crate::config::{Accepted, Config};
+use super::{Accepted, Config};
 use crate::ids::ConfigRevision;
-use crate::store::{
-    CONFIG, Condition, Range, Record, StoreAnswer, StoreRequest, StoreResult, StoreVersion, Write,
-};
+use crate::store::{CONFIG, Record, RecordVersion, StoreAnswer, StoreRequest, StoreResult};
 
 /// Reads in a row without an answer after which a change gives up.
 const MAX_SILENT_READS: u32 = 5;
@@ -95,18 +93,14 @@
     /// Takes the result of the last call.
     pub fn next(&mut self, result: &StoreResult) -> Step {
         match (self.stage, result) {
-            (Stage::Reading, Ok(StoreAnswer::Read { ranges, .. })) => {
-                let record = ranges.first().and_then(|range| range.records.first());
-                self.swap(record)
-            }
-            (Stage::Swapping, Ok(StoreAnswer::Swapped { .. })) => self.accepted(),
+            (Stage::Reading, Ok(StoreAnswer::Read { record })) => self.swap(record.as_ref()),
+            (Stage::Swapping, Ok(StoreAnswer::Swapped)) => self.accepted(),
             (Stage::Swapping, _) => {
                 self.stage = Stage::ReadingBack;
                 Step::Call(read())
             }
-            (Stage::ReadingBack, Ok(StoreAnswer::Read { ranges, .. })) => {
-                let record = ranges.first().and_then(|range| range.records.first());
-                self.read_back(record)
+            (Stage::ReadingBack, Ok(StoreAnswer::Read { record })) => {
+                self.read_back(record.as_ref())
             }
             (Stage::Reading, _) => self.read_again(ChangeOutcome::NotWritten),
             (Stage::ReadingBack, _) => self.read_again(ChangeOutcome::Unknown),
@@ -165,21 +159,18 @@
 /// The call that reads the accepted configuration.
 #[must_use]
 pub fn read() -> StoreRequest {
-    StoreRequest::Read {
-        ranges: vec![Range {
-            prefix: CONFIG.into(),
-            changed_after: 0,
-        }],
-    }
+    StoreRequest::Read { key: CONFIG.into() }
 }
 
 /// The accepted configuration in the answer to [`read`]; none when there is none yet.
 #[must_use]
 pub fn accepted(answer: &StoreAnswer) -> Option<Arc<Accepted>> {
-    let StoreAnswer::Read { ranges, .. } = answer else {
+    let StoreAnswer::Read {
+        record: Some(record),
+    } = answer
+    else {
         return None;
     };
-    let record = ranges.first()?.records.first()?;
     Accepted::parse(&record.value).ok()
 }
 
@@ -188,16 +179,11 @@
     parsed.map_or(0, |accepted| accepted.revision)
 }
 
-fn write(accepted: &Accepted, version: StoreVersion) -> StoreRequest {
+fn write(accepted: &Accepted, version: RecordVersion) -> StoreRequest {
     StoreRequest::Swap {
-        conditions: vec![Condition {
-            key: CONFIG.into(),
-            version,
-        }],
-        writes: vec![Write::Put {
-            key: CONFIG.into(),
-            value: Bytes::from(accepted.to_json()),
-            lease: None,
-        }],
+        key: CONFIG.into(),
+        version,
+        value: Bytes::from(accepted.to_json()),
+        lease: None,
     }
 }
--- a/crates/core/src/config/pool.rs
+++ b/crates/core/src/config/pool.rs
@@ -27,20 +27,20 @@
 
     /// A pool of targets of one kind in one region.
     pub struct Pool {
-        /// Name; the list of VMs uses the same.
+        /// Name; targets name it as their service.
         pub name: PoolId,
         /// Kind of its targets.
         pub kind: PoolKind,
         /// Models that its engines serve; empty for services.
         #[serde(default)]
         pub models: Vec<CompactString>,
-        /// Load of a target is at most this multiple of the pool's mean.
+        /// Load of a target is at most this multiple of the pool's mean, and 3 requests.
         #[serde(default = "default_load_multiple")]
         pub load_multiple: f64,
-        /// Requests in flight that a target of weight 1 takes.
+        /// Requests in flight that a target takes.
         #[serde(default = "default_slots_per_target")]
         pub slots_per_target: u32,
-        /// Requests that wait at the most.
+        /// Requests that wait at one daemon at the most.
         #[serde(default = "default_queue_limit")]
         pub queue_limit: usize,
         /// Rules for calls, first match first; a call without a rule is not idempotent.
--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::ids::{DaemonId, FailureDomain, hash_parts};
+use crate::ids::{DaemonId, FailureDomain, Incarnation, hash_parts};
 use crate::routing::homes::home_order;
 
 /// Daemons up to which all read the store: its price is small there.
@@ -30,8 +30,14 @@
         pub id: DaemonId,
         /// Failure domain.
         pub domain: FailureDomain,
+        /// This run of the daemon; zero if it did not tell.
+        pub incarnation: Incarnation,
         /// Where other daemons reach it.
         pub address: SocketAddr,
+        /// Where callers reach it, if it told.
+        pub caller_address: Option<SocketAddr>,
+        /// Where operators reach it, if it told.
+        pub operator_address: Option<SocketAddr>,
         /// Bandwidth of its VM, in megabits a second.
         pub link_mbps: u32,
     }
@@ -45,6 +51,18 @@
     }
 }
 
+/// Greatest age of what a source tells that is still taken. What it tells may be missing for as long
+/// as it takes to arrive: a list of everything fills the smallest links for seconds, and what changed
+/// meanwhile is asked for right after it.
+#[must_use]
+pub fn greatest_age(mirror_age: Duration, list_timeout: Duration, is_list: bool) -> Duration {
+    if is_list {
+        mirror_age + list_timeout
+    } else {
+        mirror_age
+    }
+}
+
 /// Chooses sources.
 #[derive(Debug, Clone)]
 pub struct Sources {
--- /dev/null
+++ b/crates/core/src/once/mod.rs
@@ -0,0 +1,10 @@
+//! Requests that must not run twice: each has one daemon that alone dispatches it, known by the
+//! request's id.
+
+pub mod key_binding;
+pub mod ledger;
+pub mod settings;
+
+pub use key_binding::{BindStep, KEY_LEASE_TTL, KEY_LEASE_USE, KeyBinding, record_key};
+pub use ledger::{Claim, KeptAnswer, Ledger};
+pub use settings::OnceSettings;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use crate::ids::{self, ChatKey, Fingerprint, PoolId, ProfileId, WorkspaceId};
+use crate::ids::{self, ChatKey, Fingerprint, PoolId, ProfileId, RequestId, WorkspaceId};
 
 key! {
     /// Urgency of a request; an earlier variant is served first.
@@ -32,12 +32,24 @@
 }
 
 value! {
+    /// How a caller identifies a request that must not run twice.
+    pub enum Identity {
+        /// It does not.
+        None,
+        /// By a ticket issued before.
+        Ticket(RequestId),
+        /// By a key of its own.
+        Key(CompactString),
+    }
+
     /// What a target is to do.
     pub enum Work {
         /// A chat completion by a model.
         Chat {
             /// Name of the model.
             model: CompactString,
+            /// Tokens of the prompt and of the longest answer, as far as is known.
+            tokens: TokenCount,
         },
         /// A call of a plain service.
         Call {
@@ -48,6 +60,16 @@
         },
     }
 
+    /// Tokens of a chat.
+    pub struct TokenCount {
+        /// Tokens of the messages before the last one, which earlier turns had as well.
+        pub earlier: u32,
+        /// Tokens of the last message.
+        pub last: u32,
+        /// Tokens of the longest answer.
+        pub answer: u32,
+    }
+
     /// A request as the entry daemon accepted it.
     pub struct Request {
         /// Workspace that pays for it.
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -1,11 +1,9 @@
 //! When a request may be sent again, and what a failed attempt says of its target.
 
-pub mod backoff;
 pub mod breaker;
 pub mod outcome;
 pub mod service_budget;
 
-pub use backoff::{RETRY_AFTER, RetryBudget, backoff};
 pub use breaker::Breaker;
 pub use outcome::{AnswerKind, AttemptEnd, NextStep, Progress, RetryRule, judge_answer};
 pub use service_budget::{BudgetSettings, ServiceBudget};
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -61,7 +61,7 @@
 }
 
 /// What is asked for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Demand<'a> {
     /// Service.
     pub service: &'a ServiceId,
@@ -73,6 +73,43 @@
     pub tried: &'a [TargetKey],
     /// Whether one of these may get it again if there is no other: it answered, with a failure.
     pub may_repeat_target: bool,
+    /// How reuse of caches and even load are weighed.
+    pub preference: Preference,
+}
+
+/// How reuse of caches and even load are weighed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Preference {
+    /// From 0, where a request goes to the least loaded target, to 1, where it goes to its home up to
+    /// the load bound.
+    pub reuse_weight: f64,
+    /// Bound that goes before the fleet's.
+    pub bound: Option<LoadBound>,
+}
+
+impl Default for Preference {
+    fn default() -> Self {
+        Self {
+            reuse_weight: 1.0,
+            bound: None,
+        }
+    }
+}
+
+/// Load of a service, in requests in flight at a target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Bounds {
+    mean: f64,
+    /// The greatest load before requests go elsewhere.
+    most: f64,
+}
+
+impl Bounds {
+    /// The load up to which a home is preferred.
+    fn at_home(&self, reuse_weight: f64) -> f64 {
+        let spread = (self.most - self.mean).max(0.0);
+        self.mean.min(self.most) + reuse_weight * spread
+    }
 }
 
 /// The target of a request.
@@ -130,11 +167,11 @@
         if candidates.is_empty() {
             return Err(NoTarget::NoneInUse);
         }
-        let bound = self.load_bound(&candidates);
+        let bounds = self.bounds(&candidates, demand.preference.bound.as_ref());
         let shared_part = shared(demand.parts).last();
         let choice = match shared_part {
-            Some(part) => self.choose_home(now, directory, &candidates, demand, (part, bound)),
-            None => self.choose_least(&candidates, demand, bound),
+            Some(part) => self.choose_home(now, directory, &candidates, demand, (part, bounds)),
+            None => self.choose_least(&candidates, demand, bounds),
         };
         choice.ok_or(NoTarget::NoneReachable)
     }
@@ -145,11 +182,12 @@
         directory: &Directory,
         candidates: &[Candidate<'_>],
         demand: &Demand<'_>,
-        (part, bound): (&PromptPart, f64),
+        (part, bounds): (&PromptPart, Bounds),
     ) -> Option<Choice> {
         let names = candidates.iter().map(|one| one.target.entry.id.as_str());
         let order = home_order(part.id, names);
         let homes = self.homes_wanted(now, demand, part, candidates.len());
+        let bound = bounds.at_home(demand.preference.reuse_weight);
         let fits = |position: &&usize| {
             let one = &candidates[**position];
             one.is_usable && one.is_sound && one.load < bound
@@ -172,7 +210,7 @@
             fetch_from: Self::fetch_source(now, directory, demand.service, part, one.target.key),
             reason,
             load: one.load,
-            bound,
+            bound: bounds.most,
         })
     }
 
@@ -180,7 +218,7 @@
         &self,
         candidates: &[Candidate<'_>],
         demand: &Demand<'_>,
-        bound: f64,
+        bounds: Bounds,
     ) -> Option<Choice> {
         let names = candidates.iter().map(|one| one.target.entry.id.as_str());
         let order = home_order(demand.request, names);
@@ -200,7 +238,7 @@
             reason: Reason::LeastLoaded,
             fetch_from: None,
             load: candidates[chosen].load,
-            bound,
+            bound: bounds.most,
         })
     }
 
@@ -248,14 +286,17 @@
         Some(others[first].key)
     }
 
-    /// The greatest load that a target may have before requests go elsewhere.
     #[expect(clippy::cast_precision_loss)]
-    fn load_bound(&self, candidates: &[Candidate<'_>]) -> f64 {
+    fn bounds(&self, candidates: &[Candidate<'_>], own: Option<&LoadBound>) -> Bounds {
+        let bound = own.unwrap_or(&self.bound);
         let total: f64 = candidates.iter().map(|one| one.load).sum();
         let mean = total / candidates.len() as f64;
-        let multiple = f64::from(self.bound.percent) / 100.0;
-        let bound = multiple * mean + f64::from(self.bound.extra) - BOUND_MARGIN;
-        bound.max(1.0)
+        let multiple = f64::from(bound.percent) / 100.0;
+        let most = multiple * mean + f64::from(bound.extra) - BOUND_MARGIN;
+        Bounds {
+            mean,
+            most: most.max(1.0),
+        }
     }
 }
 
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use crate::ids::{ConfigVersion, ServiceId, WorkspaceId};
+use crate::routing::LoadBound;
 use crate::routing::route::Route;
 
 value! {
@@ -16,6 +17,12 @@
         pub max_connections: u32,
         /// Whether its targets are model engines.
         pub has_engines: bool,
+        /// Requests that one target may have in flight, where the operators say so.
+        pub requests_per_target: Option<u32>,
+        /// Requests that may wait at one daemon, where the operators say so.
+        pub queue_limit: Option<usize>,
+        /// Load of a target against the mean, where the operators say so.
+        pub load_bound: Option<LoadBound>,
     }
 
     /// A workspace.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -6,9 +6,10 @@
 pub mod idle_limit;
 pub mod load;
 pub mod popularity;
+pub mod profile_route;
 pub mod route;
 
-pub use choice::{Choice, Chooser, Demand, LoadBound, NoTarget, PromptPart, Reason};
+pub use choice::{Choice, Chooser, Demand, LoadBound, NoTarget, Preference, PromptPart, Reason};
 pub use config::{CallerLimits, RoutingConfig, Service, Workspace};
 pub use idle_limit::idle_limit;
 pub use load::{LoadView, ReportedLoad};
--- /dev/null
+++ b/crates/core/src/routing/profile_route.rs
@@ -0,0 +1,97 @@
+//! Requests of the operators' profiles, in terms of routes, services and prompt parts.
+
+use crate::config::{Config, Pool, PoolKind, Profile};
+use crate::ids::hash_parts;
+use crate::request::{Request, TokenCount, Work};
+use crate::routing::{Backend, LoadBound, Preference, PromptPart, Route, RouteKind, Service};
+
+/// Requests that a target may have beside the multiple of the mean, by the users' rule on load.
+const LOAD_EXTRA: u32 = 3;
+/// Multiple of the requests that an engine batches which it takes as connections.
+const CONNECTIONS_PER_REQUEST: u32 = 4;
+
+/// The route of a request.
+#[must_use]
+pub fn route(request: &Request, profile: &Profile) -> Route {
+    Route {
+        name: profile.name.clone(),
+        host: compact_str::CompactString::default(),
+        prefix: "/".into(),
+        kind: kind(request),
+        timeout: request.deadline,
+        aim: request.deadline,
+        max_attempts: profile.attempts,
+        rank: u8::try_from(request.class.rank()).unwrap_or(u8::MAX),
+        is_public: false,
+        is_sticky: matches!(request.work, Work::Chat { .. }),
+        backends: vec![Backend {
+            service: request.pool.clone(),
+            weight: 1,
+        }],
+    }
+}
+
+fn kind(request: &Request) -> RouteKind {
+    match request.work {
+        Work::Chat { .. } => RouteKind::Stream {
+            is_repeatable: request.idempotent,
+            is_resumable: request.replayable,
+        },
+        Work::Call { .. } if request.idempotent => RouteKind::Idempotent,
+        Work::Call { .. } => RouteKind::AtMostOnce,
+    }
+}
+
+/// The service of a pool, if the configuration has it.
+#[must_use]
+pub fn service(config: &Config, name: &str) -> Option<Service> {
+    config.pool(name).map(of_pool)
+}
+
+fn of_pool(pool: &Pool) -> Service {
+    Service {
+        name: pool.name.clone(),
+        max_connections: pool.slots_per_target * CONNECTIONS_PER_REQUEST,
+        has_engines: pool.kind == PoolKind::Engines,
+        requests_per_target: Some(pool.slots_per_target),
+        queue_limit: Some(pool.queue_limit),
+        load_bound: Some(LoadBound {
+            percent: percent(pool.load_multiple),
+            extra: LOAD_EXTRA,
+        }),
+    }
+}
+
+/// How reuse and even load are weighed for a profile of a service.
+#[must_use]
+pub fn preference(profile: &Profile, service: &Service) -> Preference {
+    Preference {
+        reuse_weight: profile.reuse_weight,
+        bound: service.load_bound.clone(),
+    }
+}
+
+/// The prompt of a request: what earlier turns of the chat had as well, then its own.
+#[must_use]
+pub fn prompt(request: &Request) -> Vec<PromptPart> {
+    let Work::Chat { tokens, .. } = &request.work else {
+        return Vec::new();
+    };
+    let TokenCount { earlier, last, .. } = *tokens;
+    let own = request.fingerprint();
+    let chat = request.chat.unwrap_or(own);
+    let own = PromptPart {
+        id: hash_parts(&[&own.to_le_bytes(), b"own"]),
+        tokens: last,
+    };
+    let shared = PromptPart {
+        id: chat,
+        tokens: earlier,
+    };
+    vec![shared, own]
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn percent(multiple: f64) -> u32 {
+    (multiple * 100.0).round() as u32
+}
--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -19,6 +19,8 @@
         AtMostOnce,
         /// The answer is a stream of events.
         Stream {
+            /// Whether running a request twice does no harm while no event was delivered.
+            is_repeatable: bool,
             /// Whether another target can go on after the last event delivered.
             is_resumable: bool,
         },
@@ -60,27 +62,43 @@
 }
 
 impl Route {
-    /// Whether a request may run more than once.
+    /// Whether a request may run more than once, before anything of an answer was delivered.
     #[must_use]
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
             RouteKind::Idempotent => true,
             RouteKind::AtMostOnce => false,
-            RouteKind::Stream { is_resumable } => is_resumable,
+            RouteKind::Stream { is_repeatable, .. } => is_repeatable,
         }
     }
 
+    /// Whether another target can go on with an answer of which part was delivered.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        matches!(
+            self.kind,
+            RouteKind::Stream {
+                is_resumable: true,
+                ..
+            }
+        )
+    }
+
     /// Whether answers are streams of events.
     #[must_use]
     pub fn is_stream(&self) -> bool {
         matches!(self.kind, RouteKind::Stream { .. })
     }
 
-    /// What is allowed when an attempt fails.
+    /// What is allowed when an attempt fails, before or after part of an answer was delivered.
     #[must_use]
-    pub fn retry_rule(&self) -> RetryRule {
+    pub fn retry_rule(&self, is_delivering: bool) -> RetryRule {
         RetryRule {
-            is_repeatable: self.is_repeatable(),
+            is_repeatable: if is_delivering {
+                self.is_resumable()
+            } else {
+                self.is_repeatable()
+            },
             max_attempts: self.max_attempts,
             max_sends: self.max_attempts + EXTRA_SENDS,
         }
--- a/crates/core/tests/sources.rs
+++ b/crates/core/tests/sources.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lapismoor_core::membership::{DaemonRecord, Source, Sources};
+use lapismoor_core::membership::{DaemonRecord, Source, Sources, greatest_age};
 use test_case::test_case;
 
 const DOMAINS: [&str; 4] = ["east", "west", "north", "south"];
@@ -11,7 +11,10 @@
     let record = |number: u16| DaemonRecord {
         id: format!("edge-{number:03}").into(),
         domain: DOMAINS[usize::from(number) % 4].into(),
+        incarnation: 0,
         address: ([10, 0, 0, 1], 7_000 + number).into(),
+        caller_address: None,
+        operator_address: None,
         link_mbps: 10,
     };
     (0..size).map(record).collect()
@@ -131,3 +134,14 @@
     let actual: Vec<usize> = readers.map(|(position, _)| position).collect();
     assert_eq!(actual, large);
 }
+
+/// All of 300 daemons were killed; 37 ask each reader for a list of 3,000 targets, 1 MB, over links of
+/// 10 Mbit/s, and the last of them has it after more than the greatest age of news.
+#[test_case(true, true; "a list of everything")]
+#[test_case(false, false; "news")]
+fn what_took_long_to_arrive(is_list: bool, expected: bool) {
+    let (mirror_age, list_timeout) = (at(1_500), at(4_000));
+    let transfer = at(3_700);
+    let actual = transfer <= greatest_age(mirror_age, list_timeout, is_list);
+    assert_eq!(actual, expected);
+}
--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -5,12 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use awc::Client;
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, Uri};
+use bytes::{Bytes, BytesMut};
+use lapismoor_edge::http::{Connection, ExchangeError};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 /// Time that a caller waits for an answer beyond the deadline.
 const GRACE: Duration = Duration::from_secs(15);
+/// Time for a connection to a daemon.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest deadline of the profiles.
 const LONGEST_DEADLINE: Duration = Duration::from_mins(1);
 /// Times that a caller sends a request.
@@ -85,8 +90,17 @@
 #[derive(Clone)]
 pub struct Caller {
     balancer: Rc<Balancer>,
-    client: Client,
     key: String,
+    /// The connection of the last answer, where connections are kept.
+    open: Rc<RefCell<Option<(SocketAddr, Connection)>>>,
+    keeps_connections: bool,
+}
+
+/// A request of a caller.
+struct Sent {
+    path: String,
+    headers: Vec<(&'static str, String)>,
+    body: Bytes,
 }
 
 /// One try of a request.
@@ -103,12 +117,12 @@
 impl Caller {
     /// A caller of a workspace of the example configurations.
     #[must_use]
-    pub fn new(balancer: &Rc<Balancer>, workspace: &str) -> Self {
-        let client = Client::builder().timeout(Duration::from_secs(90)).finish();
+    pub fn new(balancer: &Rc<Balancer>, workspace: &str, keeps_connections: bool) -> Self {
         Self {
             balancer: Rc::clone(balancer),
-            client,
             key: format!("{workspace}-key"),
+            open: Rc::default(),
+            keeps_connections,
         }
     }
 
@@ -118,18 +132,17 @@
             "stream": true,
             "messages": [{"role": "user", "content": format!("marker:{marker} and so on")}],
         });
-        let send = async |address: SocketAddr| {
-            let request = self
-                .client
-                .post(format!("http://{address}/v1/chat/completions"))
-                .insert_header(("authorization", format!("Bearer {}", self.key)))
-                .insert_header(("x-profile", profile))
-                .insert_header(("x-chat-id", chat))
-                .insert_header(("connection", "close"));
-            receive(request.send_json(&body)).await
+        let sent = Sent {
+            path: "/v1/chat/completions".into(),
+            headers: vec![
+                ("x-profile", profile.to_owned()),
+                ("x-chat-id", chat.to_owned()),
+                ("content-type", "application/json".to_owned()),
+            ],
+            body: body.to_string().into(),
         };
         let check = |bytes: &[u8]| check_chat(bytes, marker, tokens);
-        self.until_answered(marker, send, check, true).await
+        self.until_answered(marker, &sent, check, true).await
     }
 
     /// Makes a call that must not run twice, under a ticket; repeats it under the same ticket.
@@ -151,45 +164,102 @@
         self.under("idempotency-key", marker, path, marker).await
     }
 
-    async fn under(&self, header: &str, value: &str, path: &str, marker: &str) -> Report {
-        let send = async |address: SocketAddr| {
-            let request = self
-                .client
-                .post(format!("http://{address}/v1/services/{path}"))
-                .insert_header(("authorization", format!("Bearer {}", self.key)))
-                .insert_header((header, value))
-                .insert_header(("connection", "close"));
-            receive(request.send_body(format!("marker:{marker} ok"))).await
+    async fn under(&self, header: &'static str, value: &str, path: &str, marker: &str) -> Report {
+        let sent = Sent {
+            path: format!("/v1/services/{path}"),
+            headers: vec![(header, value.to_owned())],
+            body: format!("marker:{marker} ok").into(),
         };
         let check = |bytes: &[u8]| check_call(bytes, marker);
-        self.until_answered(marker, send, check, false).await
+        self.until_answered(marker, &sent, check, false).await
     }
 
     async fn ticket(&self) -> Option<String> {
+        let sent = Sent {
+            path: "/v1/tickets".into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        };
         for _ in 0..MAX_TRIES {
-            let address = self.balancer.pick();
-            let sending = self
-                .client
-                .post(format!("http://{address}/v1/tickets"))
-                .insert_header(("authorization", format!("Bearer {}", self.key)))
-                .send();
-            if let Ok(mut response) = sending.await
-                && let Ok(body) = response.json::<Value>().await
-                && let Some(ticket) = body["ticket"].as_str()
-            {
-                return Some(ticket.to_owned());
+            if let Try::Whole(body, _) = self.send(self.balancer.pick(), &sent).await {
+                let body: Value = serde_json::from_slice(&body).ok()?;
+                return body["ticket"].as_str().map(str::to_owned);
             }
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
         None
     }
 
+    async fn send(&self, address: SocketAddr, sent: &Sent) -> Try {
+        let start = std::time::Instant::now();
+        let sending = self.exchange(address, sent);
+        match tokio::time::timeout(GRACE + LONGEST_DEADLINE, sending).await {
+            Err(_) => lost(),
+            Ok(Err(_)) => Try::Unreachable,
+            Ok(Ok(answer)) => answer.sort(start),
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, sent: &Sent) -> Result<Received, ExchangeError> {
+        let kept = self.open.borrow_mut().take();
+        let kept = kept.filter(|(known, _)| *known == address);
+        let kept = kept.map(|(_, connection)| connection);
+        let connection = match kept {
+            Some(connection) => connection,
+            None => Connection::open(address, CONNECT_TIMEOUT).await?,
+        };
+        let head = self.head(address, sent);
+        let (head, mut body) = connection
+            .exchange(head, sent.body.clone(), |_| true)
+            .await?;
+        let first_byte_at = std::time::Instant::now();
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = body.next().await? {
+            whole.extend_from_slice(&bytes);
+        }
+        if self.keeps_connections
+            && let Some(connection) = body.into_connection()
+        {
+            *self.open.borrow_mut() = Some((address, connection));
+        }
+        let retry_after = head.headers().get(header::RETRY_AFTER);
+        let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+        Ok(Received {
+            is_success: head.status.is_success(),
+            retry_after: retry_after.map(Duration::from_secs),
+            first_byte_at,
+            body: whole.freeze(),
+        })
+    }
+
+    fn head(&self, address: SocketAddr, sent: &Sent) -> RequestHead {
+        let mut headers = HeaderMap::new();
+        let mut add = |name: &'static str, value: &str| {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        };
+        add("host", &address.to_string());
+        add("authorization", &format!("Bearer {}", self.key));
+        if !self.keeps_connections {
+            add("connection", "close");
+        }
+        for (name, value) in &sent.headers {
+            add(name, value);
+        }
+        let mut head = RequestHead::default();
+        head.method = Method::POST;
+        head.uri = sent.path.parse().unwrap_or(Uri::from_static("/"));
+        head.headers = headers;
+        head
+    }
+
     /// Sends a request again where that is right: after "not run", after no connection, and,
     /// where running twice does no harm, after an unknown outcome.
     async fn until_answered(
         &self,
         marker: &str,
-        send: impl AsyncFn(SocketAddr) -> Try,
+        sent: &Sent,
         check: impl Fn(&[u8]) -> Seen,
         may_run_twice: bool,
     ) -> Report {
@@ -202,7 +272,7 @@
         };
         while report.tries < MAX_TRIES {
             report.tries += 1;
-            let wait = match send(self.balancer.pick()).await {
+            let wait = match self.send(self.balancer.pick(), sent).await {
                 Try::Whole(bytes, first_byte) => {
                     report.seen = check(&bytes);
                     report.first_byte = first_byte;
@@ -232,37 +302,29 @@
     }
 }
 
-async fn receive(sending: awc::SendClientRequest) -> Try {
-    let start = std::time::Instant::now();
-    let Ok(sent) = tokio::time::timeout(GRACE + LONGEST_DEADLINE, sending).await else {
-        return lost();
-    };
-    let Ok(mut response) = sent else {
-        return Try::Unreachable;
-    };
-    let first_byte = start.elapsed();
-    let retry_after = response.headers().get("retry-after");
-    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-    let status = response.status();
-    let body = response.body().limit(16 * 1_048_576).await;
-    match body {
-        Ok(body) if status.is_success() => sort_body(&body, first_byte),
-        Ok(body) => failed(&body, retry_after.map(Duration::from_secs)),
-        Err(_) => Try::Unreachable,
+/// An answer of the fleet.
+struct Received {
+    is_success: bool,
+    retry_after: Option<Duration>,
+    first_byte_at: std::time::Instant,
+    body: Bytes,
+}
+
+impl Received {
+    fn sort(self, sent_at: std::time::Instant) -> Try {
+        if self.is_success {
+            return sort_body(&self.body, self.first_byte_at.duration_since(sent_at));
+        }
+        failed(&self.body, self.retry_after)
     }
 }
 
-/// A stream that was cut says so in its last event. One without its last event, or without any
-/// byte, lost its daemon: the HTTP client shows a killed server's connection as an orderly end.
+/// A stream that was cut says so in its last event.
 fn sort_body(body: &[u8], first_byte: Duration) -> Try {
     let text = String::from_utf8_lossy(body);
     if let Some((_, error)) = text.split_once("event: error\ndata: ") {
         return failed(error.trim().as_bytes(), None);
     }
-    let is_cut = text.starts_with("data:") && !text.trim_end().ends_with("data: [DONE]");
-    if is_cut || body.is_empty() {
-        return Try::Unreachable;
-    }
     Try::Whole(body.to_vec(), first_byte)
 }
 
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -5,11 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use lapismoor_core::change::{Change, ChangeOutcome, Step};
-use lapismoor_core::config::Config;
-use lapismoor_operator::Status;
-use lapismoor_platform::KeyValue;
-use lapismoor_standin::{Faults, Vm};
+use lapismoor_adapter_standin::{Faults, Registration};
+use lapismoor_core::config::{Change, ChangeOutcome, Config, Step};
+use lapismoor_edge::Status;
 use serde_json::json;
 
 use crate::process::{Process, free_addresses};
@@ -21,6 +19,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a call to a part of the fleet has failed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Requests that a stand-in of a target tells it runs at once.
+const TARGET_SLOTS: u32 = 64;
 
 /// Size of a fleet.
 #[derive(Debug, Clone)]
@@ -66,6 +66,10 @@
             work_ms: 30,
         }
     }
+
+    fn domain(&self, index: usize) -> &str {
+        &self.failure_domains[index % self.failure_domains.len()]
+    }
 }
 
 /// A router daemon.
@@ -84,8 +88,10 @@
 
 /// A target.
 pub struct TargetProcess {
-    /// What the list of VMs says of it.
-    pub vm: Vm,
+    /// Name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
     /// File with its records.
     pub records: PathBuf,
     /// Role in which it runs.
@@ -94,14 +100,26 @@
     pub process: Process,
 }
 
+/// A way that can be put through something between the two ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Link {
+    /// From callers to a daemon.
+    Callers(String),
+    /// From daemons to a target.
+    Target(String),
+    /// From a daemon to the key-value service.
+    Store(String),
+}
+
+/// Gives the address to use in place of the real one.
+pub type Route<'a> = &'a mut dyn FnMut(Link, SocketAddr) -> io::Result<SocketAddr>;
+
 /// A fleet with its stand-ins.
 pub struct Fleet {
     program: PathBuf,
     directory: PathBuf,
     /// Address of the key-value service.
     pub key_value_address: SocketAddr,
-    /// Address of the list of VMs.
-    pub vm_list_address: SocketAddr,
     platform: Vec<Process>,
     /// Router daemons.
     pub daemons: Vec<DaemonProcess>,
@@ -121,26 +139,43 @@
         directory: &Path,
         size: &FleetSize,
         config: &Config,
+    ) -> io::Result<Self> {
+        Self::start_through(program, directory, size, config, &mut |_, address| {
+            Ok(address)
+        })
+        .await
+    }
+
+    /// As [`Self::start`], with each way put through what `route` gives.
+    ///
+    /// # Errors
+    /// As [`Self::start`].
+    pub async fn start_through(
+        program: &Path,
+        directory: &Path,
+        size: &FleetSize,
+        config: &Config,
+        route: Route<'_>,
     ) -> io::Result<Self> {
         std::fs::create_dir_all(directory)?;
-        let platform = free_addresses(2)?;
         let mut fleet = Self {
             program: program.to_owned(),
             directory: directory.to_owned(),
-            key_value_address: platform[0],
-            vm_list_address: platform[1],
+            key_value_address: free_addresses(1)?[0],
             platform: Vec::new(),
             daemons: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
         };
-        fleet.start_platform()?;
-        fleet.start_targets(size)?;
+        let key_value = Role::KeyValue {
+            address: fleet.key_value_address,
+        };
+        fleet.platform = vec![fleet.spawn("key-value", &key_value)?];
         fleet.wait_for_platform().await?;
-        fleet.list_targets().await?;
+        fleet.start_targets(size, route)?;
         fleet.apply(config).await?;
         for index in 0..size.daemons {
-            fleet.start_daemon(index, size).await?;
+            fleet.start_daemon_through(index, size, route)?;
         }
         fleet.wait_until_ready().await?;
         Ok(fleet)
@@ -151,51 +186,37 @@
         Process::start(&self.program, role, &log)
     }
 
-    fn start_platform(&mut self) -> io::Result<()> {
-        let key_value = Role::KeyValue {
-            address: self.key_value_address,
-        };
-        let vms = Role::Vms {
-            address: self.vm_list_address,
-            lag_ms: 1_000,
-        };
-        let key_value = self.spawn("key-value", &key_value)?;
-        let vms = self.spawn("vms", &vms)?;
-        self.platform = vec![key_value, vms];
-        Ok(())
-    }
-
-    fn start_targets(&mut self, size: &FleetSize) -> io::Result<()> {
+    fn start_targets(&mut self, size: &FleetSize, route: Route<'_>) -> io::Result<()> {
         let addresses = free_addresses(size.engines + size.services)?;
         for (index, address) in addresses.into_iter().enumerate() {
             let is_engine = index < size.engines;
-            let name = if is_engine {
-                format!("engine-{index}")
+            let (name, pool) = if is_engine {
+                (format!("engine-{index}"), &size.engine_pool)
             } else {
-                format!("service-{}", index - size.engines)
+                (
+                    format!("service-{}", index - size.engines),
+                    &size.service_pool,
+                )
             };
             let records = self.directory.join(format!("{name}.records"));
-            let _ = std::fs::remove_file(&records);
-            let role = target_role(size, is_engine, address, &records);
-            let process = self.spawn(&name, &role)?;
-            let domain = &size.failure_domains[index % size.failure_domains.len()];
-            let pool = if is_engine {
-                &size.engine_pool
-            } else {
-                &size.service_pool
+            if records.exists() {
+                std::fs::remove_file(&records)?;
+            }
+            let registration = Registration {
+                store: self.key_value_address,
+                id: name.clone(),
+                service: pool.clone(),
+                zone: size.domain(index).to_owned(),
+                slots: TARGET_SLOTS,
+                advertised: route(Link::Target(name.clone()), address)?,
             };
+            let role = target_role(size, is_engine, address, &records, registration);
             let target = TargetProcess {
-                vm: Vm {
-                    name,
-                    pool: pool.clone(),
-                    address,
-                    failure_domain: domain.clone(),
-                    state: "live".into(),
-                    weight_percent: 100,
-                },
+                process: self.spawn(&name, &role)?,
+                name,
+                address,
                 records,
                 role,
-                process,
             };
             if is_engine {
                 self.engines.push(target);
@@ -210,23 +231,28 @@
     ///
     /// # Errors
     /// When it cannot be started.
-    pub async fn start_daemon(&mut self, index: usize, size: &FleetSize) -> io::Result<()> {
+    pub fn start_daemon(&mut self, index: usize, size: &FleetSize) -> io::Result<()> {
+        self.start_daemon_through(index, size, &mut |_, address| Ok(address))
+    }
+
+    fn start_daemon_through(
+        &mut self,
+        index: usize,
+        size: &FleetSize,
+        route: Route<'_>,
+    ) -> io::Result<()> {
         let addresses = free_addresses(3)?;
         let name = format!("entry-{index}");
-        let domain = &size.failure_domains[index % size.failure_domains.len()];
+        let store = route(Link::Store(name.clone()), self.key_value_address)?;
         let settings = json!({
             "core": {
                 "daemon": name,
-                "failure_domain": domain,
+                "failure_domain": size.domain(index),
                 "peer_address": addresses[0],
                 "operator_address": addresses[2],
             },
             "caller_address": addresses[1],
-            "platform": {
-                "key_value_address": self.key_value_address,
-                "vm_list_address": self.vm_list_address,
-            },
-            "caller": {"workers": 1},
+            "platform": {"key_value_address": store},
             "trace_file": self.directory.join(format!("{name}.spans")),
         });
         let path = self.directory.join(format!("{name}.json"));
@@ -236,21 +262,13 @@
         };
         let process = self.spawn(&name, &role)?;
         self.daemons.push(DaemonProcess {
-            name: name.clone(),
-            caller_address: addresses[1],
+            caller_address: route(Link::Callers(name.clone()), addresses[1])?,
+            name,
             operator_address: addresses[2],
             settings: path,
             process,
         });
-        self.list(&Vm {
-            name,
-            pool: "lapismoor".into(),
-            address: addresses[0],
-            failure_domain: domain.clone(),
-            state: "live".into(),
-            weight_percent: 100,
-        })
-        .await
+        Ok(())
     }
 
     /// Starts a daemon that has ended once more, with its former settings.
@@ -272,52 +290,46 @@
     /// When it cannot be started.
     pub fn restart_engine(&mut self, index: usize) -> io::Result<()> {
         let role = self.engines[index].role.clone();
-        let name = self.engines[index].vm.name.clone();
+        let name = self.engines[index].name.clone();
         self.engines[index].process = self.spawn(&name, &role)?;
         Ok(())
     }
 
-    async fn wait_for_platform(&self) -> io::Result<()> {
-        let until = Instant::now() + READY_TIMEOUT;
-        for address in [self.key_value_address, self.vm_list_address] {
-            while set_faults(address, &Faults::default()).await.is_err() {
-                if Instant::now() > until {
-                    return Err(io::Error::other("the platform's stand-ins did not start"));
-                }
-                tokio::time::sleep(LOOK_INTERVAL).await;
-            }
-        }
+    /// Starts a service target that has ended once more.
+    ///
+    /// # Errors
+    /// When it cannot be started.
+    pub fn restart_service(&mut self, index: usize) -> io::Result<()> {
+        let role = self.services[index].role.clone();
+        let name = self.services[index].name.clone();
+        self.services[index].process = self.spawn(&name, &role)?;
         Ok(())
     }
 
-    async fn list_targets(&self) -> io::Result<()> {
-        for target in self.engines.iter().chain(&self.services) {
-            self.list(&target.vm).await?;
+    async fn wait_for_platform(&self) -> io::Result<()> {
+        let until = Instant::now() + READY_TIMEOUT;
+        while set_faults(self.key_value_address, &Faults::default())
+            .await
+            .is_err()
+        {
+            if Instant::now() > until {
+                return Err(io::Error::other("the platform's stand-in did not start"));
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
         }
         Ok(())
     }
 
-    /// Changes an entry of the list of VMs.
-    ///
-    /// # Errors
-    /// When the list does not answer.
-    pub async fn list(&self, vm: &Vm) -> io::Result<()> {
-        let url = format!("http://{}/v1/vms", self.vm_list_address);
-        let sent = client().post(url).send_json(vm).await;
-        sent.map(|_| ())
-            .map_err(|error| io::Error::other(error.to_string()))
-    }
-
     /// Puts a configuration in force; returns its revision.
     ///
     /// # Errors
     /// When it was not accepted.
     pub async fn apply(&self, config: &Config) -> io::Result<u64> {
-        let store = KeyValue::new(self.key_value_address, CALL_TIMEOUT);
+        let store = lapismoor_adapter::store_client(self.key_value_address);
         let mut change = Change::new(config.clone(), None, rand::random(), 0);
         let mut call = change.begin();
         loop {
-            let result = store.call(&call).await;
+            let result = (store.call)(call).await;
             match change.next(&result) {
                 Step::Call(next) => call = next,
                 Step::Done(ChangeOutcome::Accepted { revision }) => return Ok(revision),
@@ -326,14 +338,15 @@
         }
     }
 
-    /// Waits until every daemon takes requests.
+    /// Waits until every daemon takes requests and knows all targets.
     ///
     /// # Errors
     /// When that takes too long.
     pub async fn wait_until_ready(&self) -> io::Result<()> {
         let until = Instant::now() + READY_TIMEOUT;
+        let targets = self.engines.len() + self.services.len();
         for daemon in &self.daemons {
-            while !is_ready(daemon.caller_address).await {
+            while !knows_targets(daemon, targets).await {
                 if Instant::now() > until {
                     let message = format!("{} is not ready in time", daemon.name);
                     return Err(io::Error::other(message));
@@ -341,25 +354,7 @@
                 tokio::time::sleep(LOOK_INTERVAL).await;
             }
         }
-        self.wait_for_leaders(until).await
-    }
-
-    /// Waits until every pool has a leader that knows usable targets.
-    async fn wait_for_leaders(&self, until: Instant) -> io::Result<()> {
-        loop {
-            let mut usable = 0;
-            for status in self.statuses().await.into_iter().flatten() {
-                let targets = status.pools.iter().flat_map(|pool| &pool.targets);
-                usable += targets.filter(|target| target.health == "up").count();
-            }
-            if usable >= self.engines.len() + self.services.len() {
-                return Ok(());
-            }
-            if Instant::now() > until {
-                return Err(io::Error::other("the pools have no leaders in time"));
-            }
-            tokio::time::sleep(LOOK_INTERVAL).await;
-        }
+        Ok(())
     }
 
     /// Status of every daemon that answers.
@@ -393,11 +388,30 @@
     }
 }
 
-fn target_role(size: &FleetSize, is_engine: bool, address: SocketAddr, records: &Path) -> Role {
+async fn knows_targets(daemon: &DaemonProcess, targets: usize) -> bool {
+    if !is_ready(daemon.caller_address).await {
+        return false;
+    }
+    let status = status(daemon.operator_address).await;
+    let known = status.map_or(0, |status| {
+        let in_use = status.targets.iter().filter(|target| target.is_in_use());
+        in_use.count()
+    });
+    known >= targets
+}
+
+fn target_role(
+    size: &FleetSize,
+    is_engine: bool,
+    address: SocketAddr,
+    records: &Path,
+    registration: Registration,
+) -> Role {
     let records = records.to_owned();
     if is_engine {
         return Role::Engine {
             address,
+            registration,
             records,
             cached_chats: 200,
             prefill_ms: size.prefill_ms,
@@ -407,6 +421,7 @@
     }
     Role::Service {
         address,
+        registration,
         records,
         work_ms: size.work_ms,
     }
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod judge;
 pub mod load;
 pub mod process;
+pub mod process_use;
 pub mod role;
 pub mod scenario;
 pub mod slopes;
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -16,6 +16,8 @@
     pub workspaces: Vec<String>,
     /// Chat profiles, taken in turn.
     pub profiles: Vec<String>,
+    /// What the names of chats and calls begin with.
+    pub prefix: String,
     /// Chats.
     pub chats: usize,
     /// Turns of each chat.
@@ -32,6 +34,8 @@
     pub tokens: usize,
     /// Seed of pauses and order.
     pub seed: u64,
+    /// Whether callers use their connections again, until they are closed.
+    pub keeps_connections: bool,
 }
 
 /// Reports of the callers.
@@ -81,16 +85,17 @@
         delay: Duration,
         seed: u64,
     ) {
-        let caller = Caller::new(balancer, workspace(plan, index));
+        let caller = Caller::new(balancer, workspace(plan, index), plan.keeps_connections);
         let profile = plan.profiles[index % plan.profiles.len()].clone();
+        let prefix = plan.prefix.clone();
         let (turns, tokens, pause) = (plan.turns, plan.tokens, plan.pause);
         let (reports, done) = (Rc::clone(&self.reports), Rc::clone(&self.done));
         self.tasks.push(actix::spawn(async move {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
             tokio::time::sleep(delay).await;
             for turn in 0..turns {
-                let marker = format!("chat-{index}-{turn}");
-                let chat = format!("chat-{index}");
+                let chat = format!("{prefix}chat-{index}");
+                let marker = format!("{chat}-{turn}");
                 let report = caller.chat(&profile, &chat, &marker, tokens).await;
                 reports.borrow_mut().chats.push(report);
                 done.set(done.get() + 1);
@@ -106,12 +111,13 @@
         index: usize,
         delay: Duration,
     ) {
-        let caller = Caller::new(balancer, workspace(plan, index));
+        let caller = Caller::new(balancer, workspace(plan, index), plan.keeps_connections);
         let path = plan.billed_path.clone();
+        let prefix = plan.prefix.clone();
         let (reports, done) = (Rc::clone(&self.reports), Rc::clone(&self.done));
         self.tasks.push(actix::spawn(async move {
             tokio::time::sleep(delay).await;
-            let marker = format!("billed-{index}");
+            let marker = format!("{prefix}billed-{index}");
             let report = if index.is_multiple_of(3) {
                 caller.keyed(&path, &marker).await
             } else {
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -126,6 +126,7 @@
     LoadPlan {
         workspaces: workspaces.collect(),
         profiles: profiles.map(|profile| profile.name.to_string()).collect(),
+        prefix: String::new(),
         chats: arguments.chats,
         turns: 4,
         spread: Duration::from_secs(22),
@@ -134,6 +135,7 @@
         billed_path: format!("{}/billed/postcode", size.service_pool),
         tokens: size.tokens,
         seed: arguments.seed,
+        keeps_connections: false,
     }
 }
 
--- a/crates/demo/src/process.rs
+++ b/crates/demo/src/process.rs
@@ -22,7 +22,7 @@
 }
 
 impl Process {
-    /// Starts `program` in a role, with its standard error in a file.
+    /// Starts `program` in a role, with what it writes in a file.
     ///
     /// # Errors
     /// When the process cannot be started.
@@ -32,7 +32,7 @@
         let child = Command::new(program)
             .args([ROLE_ARGUMENT, &role])
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         Ok(Self {
@@ -88,6 +88,20 @@
 /// Ports given out by this process.
 static GIVEN: AtomicU32 = AtomicU32::new(0);
 
+/// A listener at a free address on loopback. Unlike an address alone it cannot be lost: a process that
+/// is started at that moment holds the sockets of its parent for a while.
+///
+/// # Errors
+/// When there are no free ports.
+pub fn free_listener() -> io::Result<TcpListener> {
+    for _ in 0..PORTS {
+        if let Ok(listener) = TcpListener::bind(next_address()) {
+            return Ok(listener);
+        }
+    }
+    Err(no_free_ports())
+}
+
 /// Free addresses on loopback, all different, also from those of earlier calls.
 ///
 /// # Errors
@@ -103,7 +117,11 @@
             addresses.push(address);
         }
     }
-    Err(io::Error::other("no free ports; end programs that listen"))
+    Err(no_free_ports())
+}
+
+fn no_free_ports() -> io::Error {
+    io::Error::other("no free ports; end programs that listen")
 }
 
 /// Processes start at different ports.
--- a/crates/demo/src/role.rs
+++ b/crates/demo/src/role.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use lapismoor::Settings;
-use lapismoor_standin::{EngineSettings, KeyValueSettings, Running, ServiceSettings, VmSettings};
+use lapismoor_adapter_standin::{EngineSettings, Registration, Running, ServiceSettings};
 use serde::{Deserialize, Serialize};
 
 /// Role of a process, passed as JSON in one argument.
@@ -22,6 +22,8 @@
     Engine {
         /// Address to listen at.
         address: SocketAddr,
+        /// Place in the store.
+        registration: Registration,
         /// File for records.
         records: PathBuf,
         /// Chats that its cache holds.
@@ -37,6 +39,8 @@
     Service {
         /// Address to listen at.
         address: SocketAddr,
+        /// Place in the store.
+        registration: Registration,
         /// File for records.
         records: PathBuf,
         /// Time that a call takes, in milliseconds.
@@ -47,13 +51,6 @@
         /// Address to listen at.
         address: SocketAddr,
     },
-    /// The list of VMs.
-    Vms {
-        /// Address to listen at.
-        address: SocketAddr,
-        /// Time after which a change shows, in milliseconds.
-        lag_ms: u64,
-    },
 }
 
 /// Plays a role until the process is told to stop.
@@ -80,7 +77,10 @@
             return ExitCode::FAILURE;
         }
     };
-    let _ = lapismoor::start_logging(&settings.log, &settings.core.daemon);
+    if let Err(error) = lapismoor::start_logging(&settings) {
+        eprintln!("{error}");
+        return ExitCode::FAILURE;
+    }
     match actix::System::new().block_on(lapismoor::run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -94,37 +94,34 @@
     match role {
         Role::Engine {
             address,
+            registration,
             records,
             cached_chats,
             prefill_ms,
             token_ms,
             tokens,
-        } => lapismoor_standin::serve_engine(EngineSettings {
+        } => lapismoor_adapter_standin::serve_engine(EngineSettings {
             address,
+            registration,
             records: Some(records),
             cached_chats,
             prefill: Duration::from_millis(prefill_ms),
             token: Duration::from_millis(token_ms),
             tokens,
-            workers: 1,
             may_crash: true,
         }),
         Role::Service {
             address,
+            registration,
             records,
             work_ms,
-        } => lapismoor_standin::serve_service(ServiceSettings {
+        } => lapismoor_adapter_standin::serve_service(ServiceSettings {
             address,
+            registration,
             records: Some(records),
             work: Duration::from_millis(work_ms),
         }),
-        Role::KeyValue { address } => {
-            lapismoor_standin::serve_key_value(&KeyValueSettings { address })
-        }
-        Role::Vms { address, lag_ms } => lapismoor_standin::serve_vms(&VmSettings {
-            address,
-            lag: Duration::from_millis(lag_ms),
-        }),
+        Role::KeyValue { address } => lapismoor_adapter_standin::serve_store(address),
         Role::Daemon { .. } => Err(std::io::Error::other("a daemon is no stand-in")),
     }
 }
--- a/crates/demo/src/slopes.rs
+++ b/crates/demo/src/slopes.rs
@@ -5,12 +5,13 @@
 use std::time::{Duration, Instant};
 
 use lapismoor_core::config::Config;
-use lapismoor_operator::{ProcessUse, Status};
+use lapismoor_edge::Status;
 use serde_json::Value;
 
 use crate::caller::Balancer;
 use crate::fleet::{Fleet, FleetSize};
 use crate::load::{Load, LoadPlan};
+use crate::process_use::ProcessUse;
 
 /// Time for a fleet to come to rest.
 const REST: Duration = Duration::from_secs(4);
@@ -28,7 +29,7 @@
     store_writes: u64,
 }
 
-/// Use of a daemon: mean over the fleet, and that of the daemon that leads the engines.
+/// Use of a daemon.
 struct Use {
     peer_bytes: f64,
     store_bytes: f64,
@@ -49,7 +50,7 @@
         "STORE B/s",
         "CPU %",
         "RSS MB",
-        "LEADER B/s",
+        "MOST B/s",
         "CPU %",
         "RSS MB",
         "READS/s",
@@ -66,7 +67,7 @@
         tokio::time::sleep(REST).await;
         let before = sample(&fleet).await;
         tokio::time::sleep(MEASURED).await;
-        print(*count, 0, &before, &sample(&fleet).await, &size.engine_pool);
+        print(*count, 0, &before, &sample(&fleet).await);
         loaded(&fleet, &size, config).await;
     }
     Ok(())
@@ -86,6 +87,7 @@
     let plan = LoadPlan {
         workspaces: workspaces.collect(),
         profiles: profiles.map(|profile| profile.name.to_string()).collect(),
+        prefix: String::new(),
         chats: rate * seconds,
         turns: 1,
         spread: MEASURED + Duration::from_secs(4),
@@ -94,6 +96,7 @@
         billed_path: String::new(),
         tokens: size.tokens,
         seed: 1,
+        keeps_connections: false,
     };
     let balancer = Balancer::new(fleet.caller_addresses());
     let load = Load::start(&plan, &balancer);
@@ -102,7 +105,7 @@
     tokio::time::sleep(MEASURED).await;
     let after = sample(fleet).await;
     let _ = load.finish().await;
-    print(size.daemons, rate, &before, &after, &size.engine_pool);
+    print(size.daemons, rate, &before, &after);
 }
 
 async fn sample(fleet: &Fleet) -> Sample {
@@ -132,18 +135,17 @@
 fn use_of(before: &Sample, after: &Sample, index: usize) -> Option<Use> {
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     let rate = |later: u64, earlier: u64| to_f64(later.saturating_sub(earlier)) / seconds;
-    let peer = |status: &Status| status.peer_sent_bytes + status.peer_received_bytes;
     let earlier = before.statuses[index].as_ref()?;
     let later = after.statuses[index].as_ref()?;
     Some(Use {
-        peer_bytes: rate(peer(later), peer(earlier)),
+        peer_bytes: rate(later.peer_bytes, earlier.peer_bytes),
         store_bytes: rate(later.store_bytes, earlier.store_bytes),
         cpu_percent: rate(after.uses[index].cpu_ms, before.uses[index].cpu_ms) / 10.0,
         resident_mb: to_f64(after.uses[index].resident_bytes) / 1_048_576.0,
     })
 }
 
-fn print(daemons: usize, rate: usize, before: &Sample, after: &Sample, pool: &str) {
+fn print(daemons: usize, rate: usize, before: &Sample, after: &Sample) {
     let uses: Vec<Use> = (0..daemons)
         .filter_map(|index| use_of(before, after, index))
         .collect();
@@ -152,16 +154,7 @@
         println!("{daemons:7} {count} daemons answered");
     }
     let mean = |read: fn(&Use) -> f64| uses.iter().map(read).sum::<f64>() / to_f64(count as u64);
-    let leads = |status: &Status| status.pools.iter().any(|known| known.pool == pool);
-    let leader = after
-        .statuses
-        .iter()
-        .position(|status| status.as_ref().is_some_and(leads));
-    let leader = leader.and_then(|index| use_of(before, after, index));
-    let Some(leader) = leader else {
-        println!("{daemons:7} the leader did not answer");
-        return;
-    };
+    let most = |read: fn(&Use) -> f64| uses.iter().map(read).fold(0.0, f64::max);
     let seconds = after.at.duration_since(before.at).as_secs_f64();
     println!(
         "{daemons:7} {rate:6} {:11.0} {:11.0} {:7.2} {:8.1} | {:11.0} {:7.2} {:8.1} | {:8.1} {:8.1}",
@@ -169,9 +162,9 @@
         mean(|u| u.store_bytes),
         mean(|u| u.cpu_percent),
         mean(|u| u.resident_mb),
-        leader.peer_bytes,
-        leader.cpu_percent,
-        leader.resident_mb,
+        most(|u| u.peer_bytes + u.store_bytes),
+        most(|u| u.cpu_percent),
+        most(|u| u.resident_mb),
         to_f64(after.store_reads.saturating_sub(before.store_reads)) / seconds,
         to_f64(after.store_writes.saturating_sub(before.store_writes)) / seconds,
     );
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -3,14 +3,20 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use lapismoor_core::admission::StopPlan;
-use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
+use lapismoor_core::admission::{StopPlan, Workspaces};
+use lapismoor_core::config::{Accepted, InForce};
+use lapismoor_core::ids::{Incarnation, ServiceId, TargetId, TargetKey};
 use lapismoor_core::membership::{DaemonRecord, Directory, Freshness, Mirror, TrafficShare};
+use lapismoor_core::once::Ledger;
 use lapismoor_core::retry::ServiceBudget;
-use lapismoor_core::routing::{Chooser, ReportedLoad, RoutingConfig, idle_limit};
+use lapismoor_core::routing::{
+    Chooser, ReportedLoad, RoutingConfig, Service, idle_limit, profile_route,
+};
 use lapismoor_core::{Clock, Moment};
+use lapismoor_mirror::ByteCount;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -19,8 +25,10 @@
 use crate::http::Connections;
 use crate::metrics::Metrics;
 use crate::millis::millis;
+use crate::profiles::KeyLease;
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
+use crate::store::StoreClient;
 
 /// The daemon.
 pub struct Edge {
@@ -48,13 +56,27 @@
     pub stopping_since: Cell<Option<Moment>>,
     /// Requests of callers in flight.
     pub in_flight: Cell<usize>,
+    /// Calls of the store.
+    pub store: StoreClient,
+    /// Notified when a request under a ticket or key ends.
+    pub once_ended: Notify,
+    /// Lease of the records of callers' keys.
+    pub key_lease: KeyLease,
+    /// Bytes exchanged with other daemons.
+    pub peer_bytes: ByteCount,
 }
 
 /// What is known and was decided.
 #[derive(Debug)]
 pub struct State {
-    /// The configuration in force. Invariant: its version never falls.
-    pub config: Option<Rc<RoutingConfig>>,
+    /// The configuration of routes in force.
+    pub config: InForce<Rc<RoutingConfig>>,
+    /// The configuration of profiles in force.
+    pub profiles: InForce<Arc<Accepted>>,
+    /// Limits of workspaces.
+    pub workspaces: Workspaces,
+    /// Requests under tickets and keys.
+    pub ledger: Ledger,
     /// Targets.
     pub directory: Directory,
     /// Copy of the store.
@@ -73,6 +95,26 @@
     budgets: Vec<(ServiceId, ServiceBudget)>,
 }
 
+impl State {
+    /// A service of the configurations in force.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<Service> {
+        let config = self.config.get();
+        if let Some(service) = config.and_then(|config| config.service(name)) {
+            return Some(service.clone());
+        }
+        profile_route::service(&self.profiles.get()?.config, name)
+    }
+
+    /// This daemon's part of a limit of the fleet: its share of the traffic, or an even share while
+    /// targets are too idle to tell.
+    #[must_use]
+    pub fn share_of_fleet(&self) -> f64 {
+        let daemons = u32::try_from(self.daemons.len().max(1)).unwrap_or(u32::MAX);
+        self.share.get().max(1.0 / f64::from(daemons))
+    }
+}
+
 impl Edge {
     /// A daemon that knows nothing yet.
     #[must_use]
@@ -81,9 +123,15 @@
         spans: Option<Spans>,
         clock: Clock,
         dialect: Dialect,
+        store: StoreClient,
     ) -> Rc<Self> {
+        let ledger = Ledger::new(rand::random(), settings.once.clone());
+        let key_lease = KeyLease::new(settings.once.key_records_per_second);
         let state = State {
-            config: None,
+            config: InForce::default(),
+            profiles: InForce::default(),
+            workspaces: Workspaces::default(),
+            ledger,
             directory: Directory::default(),
             mirror: Mirror::default(),
             daemons: Vec::new(),
@@ -107,6 +155,10 @@
             stopping: CancellationToken::new(),
             stopping_since: Cell::new(None),
             in_flight: Cell::new(0),
+            store,
+            once_ended: Notify::new(),
+            key_lease,
+            peer_bytes: ByteCount::default(),
         })
     }
 
@@ -116,10 +168,29 @@
         self.clock.now()
     }
 
-    /// The configuration in force.
+    /// The configuration of routes in force.
     #[must_use]
     pub fn config(&self) -> Option<Rc<RoutingConfig>> {
-        self.state.borrow().config.clone()
+        self.state.borrow().config.get().cloned()
+    }
+
+    /// The configuration of profiles in force.
+    #[must_use]
+    pub fn profiles(&self) -> Option<Arc<Accepted>> {
+        self.state.borrow().profiles.get().cloned()
+    }
+
+    /// Version of the configuration in force: of routes, else of profiles.
+    #[must_use]
+    pub fn config_version(&self) -> Option<u64> {
+        let state = self.state.borrow();
+        state.config.version().or(state.profiles.version())
+    }
+
+    /// This run of the daemon.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.state.borrow().ledger.incarnation()
     }
 
     /// Age of what is known of the configuration.
@@ -132,7 +203,8 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        let knows_enough = state.config.is_some() && state.is_listed;
+        let is_configured = state.config.get().is_some() || state.profiles.get().is_some();
+        let knows_enough = is_configured && state.is_listed;
         knows_enough && !state.freshness.is_cut_off(self.now()) && !self.stopping.is_cancelled()
     }
 
@@ -213,12 +285,11 @@
     /// Idle connections that may be kept to a target of a service.
     #[must_use]
     pub fn idle_limit(&self, service: &ServiceId) -> usize {
-        let Some(config) = self.config() else {
-            return 0;
-        };
-        let service = config.service(service);
-        let share = &self.state.borrow().share;
-        service.map_or(0, |service| idle_limit(service.max_connections, share))
+        let state = self.state.borrow();
+        let service = state.service(service);
+        service.map_or(0, |service| {
+            idle_limit(service.max_connections, &state.share)
+        })
     }
 
     /// Notes an answer of a target.
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -21,6 +21,21 @@
     pub last_event: Option<u64>,
     /// Parts of the prompt, in order. The last is the request's own.
     pub parts: Vec<PromptPart>,
+    /// Trace that the caller asked for.
+    pub traceparent: Option<CompactString>,
+    /// The model, for requests whose headers do not name it yet.
+    pub model: Option<ModelCall>,
+}
+
+/// What an engine needs to know of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelCall {
+    /// Name of the model; empty for plain services.
+    pub name: CompactString,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the longest answer.
+    pub answer_tokens: u32,
 }
 
 /// A request that cannot be understood.
@@ -76,6 +91,8 @@
     pub is_withheld: fn(&HeaderName) -> bool,
     /// Adds what the target needs to know.
     pub write_attempt: fn(&AttemptHeaders<'_>, &mut HeaderMap),
+    /// Adds id and prompt of a request whose caller speaks another dialect.
+    pub write_prompt: fn(&Envelope, &ModelCall, &mut HeaderMap),
     /// Reads a target's headers.
     pub read_answer: fn(&HeaderMap) -> AnswerMarks,
     /// Adds to a refusal when the caller may come back.
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -2,13 +2,13 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use lapismoor_core::Moment;
-use lapismoor_core::admission::gate::{Entry, Gate, SOONEST_RETURN, Ticket, patience};
-use lapismoor_core::admission::{Refusal, flight_limit};
+use lapismoor_core::admission::gate::{Entry, Gate, GateLimits, SOONEST_RETURN, Ticket, patience};
+use lapismoor_core::admission::{Claim, Refusal, gate_limits};
 use lapismoor_core::ids::ServiceId;
-use lapismoor_core::routing::Route;
-use tokio::sync::oneshot;
+use tokio::sync::oneshot::{self, error::TryRecvError};
 
 use crate::context::Edge;
 
@@ -26,6 +26,18 @@
     entrances: RefCell<Vec<(ServiceId, Entrance)>>,
 }
 
+/// A request before a gate.
+pub(crate) struct Entrant<'a> {
+    /// Service that it is for.
+    pub service: &'a ServiceId,
+    /// Time within which its answer is on time.
+    pub aim: Duration,
+    /// What decides its turn.
+    pub claim: &'a Claim,
+    /// When it came.
+    pub received: Moment,
+}
+
 /// The right of a request to be in flight.
 pub struct Permit {
     edge: Rc<Edge>,
@@ -35,10 +47,11 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let took = self.edge.now().saturating_sub(self.since);
-        let limit = self.edge.flight_limit(&self.service);
+        let now = self.edge.now();
+        let took = now.saturating_sub(self.since);
+        let limits = self.edge.gate_limits(&self.service);
         let called = self.edge.gates.with(&self.service, |entrance| {
-            let tickets = entrance.gate.leave(limit, took);
+            let tickets = entrance.gate.leave(now, &limits, took);
             let is_called = |ticket: &Ticket| tickets.contains(ticket);
             entrance
                 .waiting
@@ -53,11 +66,13 @@
     }
 }
 
-/// Takes a ticket back when a caller leaves while it waits, or its place if it was called.
+/// A request before a gate. Dropped, it takes its ticket back, or its place if it was called.
 struct Waiting {
     edge: Rc<Edge>,
     service: ServiceId,
     ticket: Ticket,
+    /// Brings the call; closed if a more urgent request took the place in the queue.
+    called: oneshot::Receiver<()>,
     has_entered: bool,
 }
 
@@ -66,14 +81,15 @@
         if self.has_entered {
             return;
         }
-        let was_waiting = self.edge.gates.with(&self.service, |entrance| {
-            entrance
-                .waiting
-                .retain(|(ticket, _)| *ticket != self.ticket);
-            entrance.gate.give_up(self.ticket)
-        });
-        if !was_waiting {
-            drop(self.edge.permit(&self.service));
+        match self.called.try_recv() {
+            Ok(()) => drop(self.edge.permit(&self.service)),
+            Err(TryRecvError::Closed) => {}
+            Err(TryRecvError::Empty) => self.edge.gates.with(&self.service, |entrance| {
+                entrance
+                    .waiting
+                    .retain(|(ticket, _)| *ticket != self.ticket);
+                entrance.gate.give_up(self.ticket);
+            }),
         }
     }
 }
@@ -95,19 +111,20 @@
     ///
     /// # Errors
     /// [`Refusal`] when it would be answered too late.
-    pub(crate) async fn enter(
-        self: &Rc<Self>,
-        service: &ServiceId,
-        route: &Route,
-        rank: u8,
-        received: Moment,
-    ) -> Result<Permit, Refusal> {
-        let limit = self.flight_limit(service);
-        let patience = patience(route.aim, received, self.now());
+    pub(crate) async fn enter(self: &Rc<Self>, entrant: Entrant<'_>) -> Result<Permit, Refusal> {
+        let service = entrant.service;
+        let now = self.now();
+        let limits = self.gate_limits(service);
+        let patience = patience(entrant.aim, entrant.received, now);
         let (call, called) = oneshot::channel();
         let entry = self.gates.with(service, |entrance| {
-            let entry = entrance.gate.arrive(limit, rank, patience);
-            if let Entry::Wait(ticket) = entry {
+            let gate = &mut entrance.gate;
+            let entry = gate.arrive(now, &limits, entrant.claim, patience);
+            if let Entry::Wait { ticket, evicted } = entry {
+                // The evicted request sees its call dropped.
+                entrance
+                    .waiting
+                    .retain(|(waiting, _)| Some(*waiting) != evicted);
                 entrance.waiting.push((ticket, call));
             }
             entry
@@ -115,15 +132,16 @@
         let ticket = match entry {
             Entry::Enter => return Ok(self.permit(service)),
             Entry::Refuse { come_back } => return Err(Refusal::Full { come_back }),
-            Entry::Wait(ticket) => ticket,
+            Entry::Wait { ticket, .. } => ticket,
         };
         let mut waiting = Waiting {
             edge: Rc::clone(self),
             service: service.clone(),
             ticket,
+            called,
             has_entered: false,
         };
-        let is_called = tokio::time::timeout(patience, called).await;
+        let is_called = tokio::time::timeout(patience, &mut waiting.called).await;
         if matches!(is_called, Ok(Ok(()))) {
             waiting.has_entered = true;
             return Ok(self.permit(service));
@@ -141,17 +159,20 @@
         }
     }
 
-    /// Requests of a service that may be in flight.
+    /// Requests of a service that may be in flight, and that may wait.
     #[must_use]
-    pub fn flight_limit(&self, service: &ServiceId) -> usize {
+    fn gate_limits(&self, service: &ServiceId) -> GateLimits {
         let state = self.state.borrow();
-        let config = state.config.as_ref();
-        let Some(known) = config.and_then(|config| config.service(service)) else {
-            return 1;
+        let Some(known) = state.service(service) else {
+            return GateLimits {
+                in_flight: 1,
+                reserved: 0,
+                waiting: usize::MAX,
+            };
         };
         let now = self.now();
         let in_use = state.directory.in_use(service);
         let reachable = in_use.filter(|target| target.breaker.is_closed(now));
-        flight_limit(known, reachable, &state.share)
+        gate_limits(&known, reachable, &state.share)
     }
 }
--- a/crates/edge/src/listeners.rs
+++ b/crates/edge/src/listeners.rs
@@ -13,8 +13,8 @@
 pub struct Listeners {
     /// For callers.
     pub callers: TcpListener,
-    /// For the balancer's question whether the daemon is ready.
-    pub ready: TcpListener,
+    /// For the balancer's question whether the daemon is ready, if it has an address of its own.
+    pub ready: Option<TcpListener>,
     /// For other daemons.
     pub peers: TcpListener,
     /// For metrics.
@@ -29,7 +29,10 @@
     pub async fn bind(settings: &EdgeSettings) -> Result<Self, StartError> {
         Ok(Self {
             callers: bind(settings.caller_address, "caller_address").await?,
-            ready: bind(settings.ready_address, "ready_address").await?,
+            ready: match settings.ready_address {
+                Some(address) => Some(bind(address, "ready_address").await?),
+                None => None,
+            },
             peers: bind(settings.peer_address, "peer_address").await?,
             metrics: bind(settings.metrics_address, "metrics_address").await?,
         })
--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -119,16 +119,25 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
-            (Some(number), _) => number.into(),
-            (_, Some(flag)) => flag.into(),
-            _ => value.to_string().into(),
+        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (_, Some(number), _) => number.into(),
+            (_, _, Some(flag)) => flag.into(),
+            _ => text(&value.to_string()),
         };
         self.0.insert(key.to_string(), value);
         Ok(())
     }
 }
 
+/// Text of a value; an option without one is written as nothing.
+fn text(value: &str) -> serde_json::Value {
+    if value == "None" {
+        return serde_json::Value::Null;
+    }
+    value.into()
+}
+
 fn line(daemon: &str, record: &log::Record<'_>) -> String {
     let mut fields = Fields(Map::new());
     if record.key_values().visit(&mut fields).is_err() {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use lapismoor_core::ids::ServiceId;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -25,6 +26,7 @@
     /// Connections opened to targets.
     pub connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
+    retries_left: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -74,6 +76,10 @@
                 "Connections opened to targets",
             ),
             store_calls: counter("lapismoor.store.calls", "Calls to the store, by outcome"),
+            retries_left: meter
+                .u64_gauge("lapismoor.retry.left")
+                .with_description("Retries left in the window after the last failed attempt")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -132,6 +138,12 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Notes the retries that are left for a service.
+    pub fn retries_left(&self, service: &ServiceId, left: u64) {
+        let labels = [KeyValue::new("service", service.to_string())];
+        self.retries_left.record(left, &labels);
+    }
+
     /// All metrics as text.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/edge/src/profiles/once.rs
@@ -0,0 +1,146 @@
+//! Requests under tickets and callers' own keys: only their owner runs them, once, and whoever asks
+//! again gets what came of it.
+
+use std::rc::Rc;
+
+use actix_web::rt;
+use bytes::BytesMut;
+use compact_str::CompactString;
+use futures::StreamExt;
+use lapismoor_caller::{Answers, CallerAnswer, SentRequest};
+use lapismoor_core::answer::AnswerPart;
+use lapismoor_core::failure::{Failure, FailureKind};
+use lapismoor_core::ids::RequestId;
+use lapismoor_core::once::{Claim, KeptAnswer};
+use lapismoor_core::request::{Identity, Request};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use super::gateway::{dispatch, one};
+use super::{keys, relay};
+use crate::context::Edge;
+
+/// Serves a request under a ticket or key.
+pub(super) async fn serve(
+    edge: Rc<Edge>,
+    request: Rc<Request>,
+    identity: Identity,
+    sent: Box<SentRequest>,
+) -> Answers {
+    let id = match identity {
+        Identity::Ticket(id) => id,
+        Identity::Key(key) => match keys::bind(&edge, &request.workspace, &key).await {
+            Ok(id) => id,
+            Err(failure) => return one(CallerAnswer::Fail(failure)),
+        },
+        Identity::None => return dispatch(edge, &request).await,
+    };
+    if id.incarnation != edge.incarnation() {
+        return one(relay::to_owner(&edge, id, &request, &sent).await);
+    }
+    let claim = {
+        let ledger = &mut edge.state.borrow_mut().ledger;
+        ledger.claim(id, &request.workspace, request.fingerprint())
+    };
+    log::info!(
+        request = request.traceparent.as_deref(),
+        ticket:% = id,
+        claim = name(&claim);
+        "ticket_used"
+    );
+    match claim {
+        Claim::Run => run(&edge, id, request),
+        Claim::Wait => match wait(&edge, id, &request).await {
+            Ok(answer) => kept(answer),
+            Err(failure) => one(CallerAnswer::Fail(failure)),
+        },
+        Claim::Answer(answer) => kept(answer),
+        Claim::Fail(failure) => one(CallerAnswer::Fail(failure)),
+    }
+}
+
+fn name(claim: &Claim) -> &'static str {
+    match claim {
+        Claim::Run => "run",
+        Claim::Wait => "wait",
+        Claim::Answer(_) => "answer",
+        Claim::Fail(_) => "fail",
+    }
+}
+
+/// Runs a request to its end even if its caller leaves: the answer is for whoever asks again.
+fn run(edge: &Rc<Edge>, id: RequestId, request: Rc<Request>) -> Answers {
+    let (sender, receiver) = unbounded_channel();
+    let edge = Rc::clone(edge);
+    rt::spawn(async move {
+        let answers = dispatch(Rc::clone(&edge), &request).await;
+        let end = collect(answers, &sender).await;
+        let now = edge.now();
+        edge.state.borrow_mut().ledger.end(now, id, end);
+        edge.once_ended.notify_waiters();
+    });
+    let incoming = futures::stream::unfold(receiver, |mut receiver| async move {
+        receiver.recv().await.map(|answer| (answer, receiver))
+    });
+    incoming.boxed_local()
+}
+
+/// Collects an answer while its first caller gets it as it comes.
+async fn collect(
+    mut answers: Answers,
+    first_caller: &UnboundedSender<CallerAnswer>,
+) -> Result<KeptAnswer, Failure> {
+    let mut status = 0;
+    let mut content_type = CompactString::default();
+    let mut body = BytesMut::new();
+    while let Some(answer) = answers.next().await {
+        // A caller that left may ask again for what is kept.
+        drop(first_caller.send(answer.clone()));
+        match answer {
+            CallerAnswer::Part(AnswerPart::Head {
+                status: head,
+                content_type: media_type,
+            }) => {
+                status = head;
+                content_type = media_type;
+            }
+            CallerAnswer::Part(AnswerPart::Data(bytes)) => body.extend_from_slice(&bytes),
+            CallerAnswer::Part(AnswerPart::End) => {
+                return Ok(KeptAnswer {
+                    status,
+                    content_type,
+                    body: body.freeze(),
+                });
+            }
+            CallerAnswer::Fail(failure) => return Err(failure),
+            CallerAnswer::Ticket(_) | CallerAnswer::Relayed(_) => break,
+        }
+    }
+    Err(Failure::unknown(FailureKind::AnswerCut, None))
+}
+
+/// Waits for the end of a request that runs for another caller.
+async fn wait(edge: &Edge, id: RequestId, request: &Request) -> Result<KeptAnswer, Failure> {
+    let waiting = async {
+        loop {
+            let ended = edge.once_ended.notified();
+            if let Some(outcome) = edge.state.borrow().ledger.outcome(id) {
+                return outcome;
+            }
+            ended.await;
+        }
+    };
+    let waited = tokio::time::timeout(request.deadline, waiting).await;
+    waited.unwrap_or_else(|_| Err(Failure::unknown(FailureKind::DeadlinePassed, None)))
+}
+
+fn kept(answer: KeptAnswer) -> Answers {
+    let parts = [
+        AnswerPart::Head {
+            status: answer.status,
+            content_type: answer.content_type,
+        },
+        AnswerPart::Data(answer.body),
+        AnswerPart::End,
+    ];
+    futures::stream::iter(parts.map(CallerAnswer::Part)).boxed_local()
+}
--- /dev/null
+++ b/crates/edge/src/profiles/outcome.rs
@@ -0,0 +1,112 @@
+//! What callers of profiles are told of the end of a request.
+
+use std::rc::Rc;
+
+use actix_http::ResponseHead;
+use actix_http::header;
+use compact_str::CompactString;
+use futures::{StreamExt, stream};
+use lapismoor_caller::{Answers, CallerAnswer};
+use lapismoor_core::admission::Refusal;
+use lapismoor_core::answer::AnswerPart;
+use lapismoor_core::failure::{Failure, FailureKind, NotRunProof};
+
+use super::gateway::one;
+use crate::serve::{Ending, WholeAnswer};
+
+/// Cause of a stream whose time was over.
+const TIME_UP: &str = "time_up";
+
+/// The parts of an answer.
+pub(super) fn answers(ending: Ending) -> Answers {
+    match ending {
+        Ending::Whole(answer)
+        | Ending::Failed {
+            answer: Some(answer),
+            ..
+        } => whole(&answer),
+        Ending::Stream(head, relay) => {
+            let head = stream::iter([part(head_part(&head))]);
+            head.chain(events(*relay)).boxed_local()
+        }
+        Ending::Refused(refusal) => one(CallerAnswer::Fail(refused(&refusal))),
+        Ending::Failed { is_late, .. } => {
+            let kind = if is_late {
+                FailureKind::DeadlinePassed
+            } else {
+                FailureKind::TargetFailed
+            };
+            one(CallerAnswer::Fail(Failure::unknown(kind, None)))
+        }
+    }
+}
+
+/// The answer to a request that no target ran.
+pub(super) fn refused(refusal: &Refusal) -> Failure {
+    let (proof, kind) = match refusal {
+        Refusal::Busy => (NotRunProof::RefusedByTargets, FailureKind::NoTarget),
+        Refusal::NoTarget | Refusal::Unreachable => {
+            (NotRunProof::NeverDispatched, FailureKind::NoTarget)
+        }
+        Refusal::Full { .. } => (
+            NotRunProof::NeverDispatched,
+            FailureKind::DeadlineUnmeetable,
+        ),
+        Refusal::WorkspaceLimit { .. } => {
+            (NotRunProof::NeverDispatched, FailureKind::WorkspaceLimit)
+        }
+        Refusal::CrashesTargets { .. } => {
+            (NotRunProof::NeverDispatched, FailureKind::CrashesTargets)
+        }
+        Refusal::Stopping => (NotRunProof::NeverAccepted, FailureKind::Stopping),
+        Refusal::NoConfiguration
+        | Refusal::StaleConfiguration
+        | Refusal::NoRoute
+        | Refusal::UnknownKey => (NotRunProof::NeverAccepted, FailureKind::NotReady),
+    };
+    Failure::not_run(proof, kind, refusal.retry_after())
+}
+
+fn whole(answer: &WholeAnswer) -> Answers {
+    let parts = [
+        part(head_part(&answer.head)),
+        part(AnswerPart::Data(answer.body.clone())),
+        part(AnswerPart::End),
+    ];
+    stream::iter(parts).boxed_local()
+}
+
+/// The events, then their end, or the failure that cut them off.
+fn events(relay: crate::serve::Relay) -> Answers {
+    let is_cut = Rc::new(std::cell::Cell::new(false));
+    let for_end = Rc::clone(&is_cut);
+    let events = relay.into_stream().map(move |event| match event {
+        Ok(bytes) => part(AnswerPart::Data(bytes)),
+        Err(cause) => {
+            is_cut.set(true);
+            let kind = if cause == TIME_UP {
+                FailureKind::DeadlinePassed
+            } else {
+                FailureKind::AnswerCut
+            };
+            CallerAnswer::Fail(Failure::unknown(kind, None))
+        }
+    });
+    let end = stream::once(async move { (!for_end.get()).then(|| part(AnswerPart::End)) });
+    events
+        .chain(end.filter_map(|end| async { end }))
+        .boxed_local()
+}
+
+fn head_part(head: &ResponseHead) -> AnswerPart {
+    let content_type = head.headers().get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    AnswerPart::Head {
+        status: head.status.as_u16(),
+        content_type: CompactString::from(content_type.unwrap_or("application/octet-stream")),
+    }
+}
+
+fn part(part: AnswerPart) -> CallerAnswer {
+    CallerAnswer::Part(part)
+}
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -59,8 +59,8 @@
     _guard: TargetGuard,
 }
 
-/// A whole failure of a target, to be passed on if nothing better comes.
-pub(crate) struct FailureAnswer {
+/// A whole answer of a target.
+pub(crate) struct WholeAnswer {
     pub head: ResponseHead,
     pub body: Bytes,
 }
@@ -69,7 +69,7 @@
 pub(crate) struct FailedAttempt {
     pub end: AttemptEnd,
     pub cause: &'static str,
-    pub answer: Option<FailureAnswer>,
+    pub answer: Option<WholeAnswer>,
 }
 
 impl FailedAttempt {
@@ -105,7 +105,7 @@
             return Err(FailedAttempt::new(AttemptEnd::NotSent, error.name()));
         }
     };
-    let head = request_head(job, choice, &target_id, last_event);
+    let head = request_head(job, choice, &target_id, last_event, hop.as_ref());
     let is_own = |head: &ResponseHead| {
         let id = (edge.dialect.read_answer)(head.headers()).request_id;
         id.is_none_or(|id| id == job.envelope.id)
@@ -172,7 +172,7 @@
             let body = collect(job, &mut answer, MAX_FAILURE_BYTES).await;
             let mut failed = FailedAttempt::new(AttemptEnd::Failed, "target_failed");
             if let Ok(body) = body {
-                failed.answer = Some(FailureAnswer {
+                failed.answer = Some(WholeAnswer {
                     head: clone_head(&answer.head),
                     body,
                 });
@@ -263,6 +263,7 @@
     choice: &Choice,
     target_id: &TargetId,
     last_event: Option<u64>,
+    hop: Option<&Hop>,
 ) -> RequestHead {
     let edge = &job.edge;
     let mut head = RequestHead::default();
@@ -274,14 +275,34 @@
         target: target_id,
         workspace: job.workspace.as_deref(),
         time_left: job.time_left(),
-        rank: job.route.is_sticky.then_some(job.rank),
+        rank: job.route.is_sticky.then_some(job.claim.rank),
         last_event,
         fetch_from: fetch_from.map(|(_, address)| address),
     };
     (edge.dialect.write_attempt)(&attempt, &mut head.headers);
+    if let Some(model) = &job.envelope.model {
+        (edge.dialect.write_prompt)(&job.envelope, model, &mut head.headers);
+    }
+    if job.envelope.traceparent.is_some()
+        && let Some(hop) = hop
+    {
+        write_trace(&hop.traceparent(), &mut head.headers);
+    }
     head
 }
 
+/// Header that carries the trace.
+const TRACEPARENT: &str = "traceparent";
+
+fn write_trace(traceparent: &str, headers: &mut header::HeaderMap) {
+    match header::HeaderValue::from_str(traceparent) {
+        Ok(value) => {
+            headers.insert(header::HeaderName::from_static(TRACEPARENT), value);
+        }
+        Err(error) => log::warn!(error:%; "trace_not_sent"),
+    }
+}
+
 fn begin_hop(job: &Job, target_id: &TargetId) -> Option<Hop> {
     let request = job.hop.as_ref()?;
     let spans = job.edge.spans.as_ref()?;
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -3,21 +3,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::{self, HeaderMap, HeaderName};
+use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
-use actix_web::HttpRequest;
 use bytes::Bytes;
 use lapismoor_core::Moment;
-use lapismoor_core::admission::Refusal;
-use lapismoor_core::ids::{ServiceId, TargetKey, WorkspaceId};
+use lapismoor_core::admission::{Claim, Refusal};
+use lapismoor_core::ids::{ConfigVersion, ServiceId, TargetKey, WorkspaceId};
 use lapismoor_core::retry::{AttemptEnd, NextStep, Progress};
-use lapismoor_core::routing::{Choice, Demand, NoTarget, Route};
+use lapismoor_core::routing::{Choice, Demand, NoTarget, Preference, Route};
 use opentelemetry::trace::SpanKind;
 
-use super::{Admitted, request_hash};
+use super::order::Order;
+use super::request_hash;
 use crate::context::Edge;
 use crate::dialect::Envelope;
-use crate::gates::Permit;
+use crate::gates::{Entrant, Permit};
 use crate::spans::Hop;
 
 /// Least time for which another attempt is worth while.
@@ -47,11 +47,12 @@
 pub(crate) struct Job {
     pub edge: Rc<Edge>,
     pub envelope: Envelope,
-    pub config_version: u64,
+    pub config_version: ConfigVersion,
     pub route: Rc<Route>,
     pub service: ServiceId,
     pub workspace: Option<WorkspaceId>,
-    pub rank: u8,
+    pub claim: Claim,
+    pub preference: Preference,
     pub method: Method,
     pub uri: Uri,
     /// Headers to pass on.
@@ -65,6 +66,8 @@
     /// Whether the last attempt ended with a failure of the target's own.
     pub may_repeat_target: bool,
     pub progress: Progress,
+    /// Whether part of an answer was passed on.
+    pub is_delivering: bool,
     /// How long it waited before it could be sent.
     pub waited: Duration,
     permit: Option<Permit>,
@@ -74,46 +77,33 @@
 }
 
 impl Job {
-    pub(crate) fn new(
-        edge: Rc<Edge>,
-        guard: CallerGuard,
-        admitted: Admitted,
-        envelope: Envelope,
-        request: &HttpRequest,
-        body: Bytes,
-        received: Moment,
-    ) -> Self {
-        let route = admitted.route;
-        let deadline = envelope.deadline.unwrap_or(route.timeout);
-        let shared = envelope.parts.iter().rev().nth(1);
-        let split_key = shared.map_or_else(|| request_hash(&envelope.id), |part| part.id);
-        let service = route.service_for(split_key).clone();
-        edge.count_request(&service);
-        let (workspace, rank) = match admitted.workspace {
-            Some(workspace) => (Some(workspace.name), workspace.rank),
-            None => (None, None),
-        };
+    pub(crate) fn new(edge: Rc<Edge>, guard: CallerGuard, order: Order) -> Self {
+        let route = order.route;
+        let deadline = order.envelope.deadline.unwrap_or(route.timeout);
+        edge.count_request(&order.service);
         Self {
-            config_version: admitted.config.version(),
-            headers: passed_on(&edge, request.headers()),
-            method: request.method().clone(),
-            uri: request.uri().clone(),
-            until: received + deadline.min(route.timeout),
-            rank: rank.unwrap_or(route.rank),
+            config_version: order.config_version,
+            headers: order.headers,
+            method: order.method,
+            uri: order.uri,
+            until: order.received + deadline.min(route.timeout),
+            claim: order.claim,
+            preference: order.preference,
             tried: Vec::new(),
             may_repeat_target: false,
             progress: Progress::default(),
+            is_delivering: false,
             waited: Duration::ZERO,
             permit: None,
-            hop: begin_hop(&edge, &envelope.id, &service),
+            hop: begin_hop(&edge, &order.envelope, &order.service),
             _guard: guard,
             edge,
-            envelope,
+            envelope: order.envelope,
             route,
-            service,
-            workspace,
-            body,
-            received,
+            service: order.service,
+            workspace: order.workspace,
+            body: order.body,
+            received: order.received,
         }
     }
 
@@ -121,7 +111,12 @@
     pub(crate) async fn enter(&mut self) -> Result<(), Refusal> {
         let edge = Rc::clone(&self.edge);
         let began = edge.now();
-        let entered = edge.enter(&self.service, &self.route, self.rank, self.received);
+        let entered = edge.enter(Entrant {
+            service: &self.service,
+            aim: self.route.aim,
+            claim: &self.claim,
+            received: self.received,
+        });
         self.permit = Some(entered.await?);
         self.waited = edge.now().saturating_sub(began);
         edge.metrics.waited(self.waited);
@@ -147,6 +142,7 @@
             request: request_hash(&self.envelope.id),
             tried: &self.tried,
             may_repeat_target: self.may_repeat_target,
+            preference: self.preference.clone(),
         };
         let mut state = self.edge.state.borrow_mut();
         let state = &mut *state;
@@ -161,7 +157,7 @@
         let has_time = self.time_left() > MIN_TIME_LEFT;
         let take_budget = || *end == AttemptEnd::NotSent || self.edge.take_retry(&self.service);
         self.route
-            .retry_rule()
+            .retry_rule(self.is_delivering)
             .next(end, self.progress, has_time, take_budget)
     }
 
@@ -172,14 +168,20 @@
 
     /// Whether another attempt would be allowed after one that may have run.
     pub(crate) fn may_go_elsewhere(&self) -> bool {
-        self.route.is_repeatable() && self.progress.runs + 1 < self.route.max_attempts
+        let rule = self.route.retry_rule(self.is_delivering);
+        rule.is_repeatable && self.progress.runs + 1 < rule.max_attempts
     }
 }
 
-fn begin_hop(edge: &Edge, id: &str, service: &ServiceId) -> Option<Hop> {
-    let spans = edge.spans.as_ref().filter(|_| is_sampled(edge, id))?;
-    let mut hop = spans.begin("request", SpanKind::Server);
-    hop.note("request", id.to_owned());
+/// A caller that sent a trace asked for spans; of the others a sample has them.
+fn begin_hop(edge: &Edge, envelope: &Envelope, service: &ServiceId) -> Option<Hop> {
+    let spans = edge.spans.as_ref()?;
+    let trace = envelope.traceparent.as_deref();
+    if trace.is_none() && !is_sampled(edge, &envelope.id) {
+        return None;
+    }
+    let mut hop = spans.start("request", SpanKind::Server, trace.unwrap_or_default());
+    hop.note("request", envelope.id.to_string());
     hop.note("service", service.to_string());
     Some(hop)
 }
@@ -189,46 +191,3 @@
     let every = u64::from(edge.settings.tuning.log_every.max(1));
     request_hash(id).is_multiple_of(every)
 }
-
-/// Headers of a caller that targets get, too.
-fn passed_on(edge: &Edge, headers: &HeaderMap) -> HeaderMap {
-    let named = named_by_connection(headers);
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let is_dropped = is_hop_by_hop(name)
-            || *name == header::CONTENT_LENGTH
-            || named.iter().any(|other| other == name.as_str())
-            || (edge.dialect.is_withheld)(name);
-        if !is_dropped {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
-}
-
-/// Names of further headers that concern one connection only.
-fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
-    headers
-        .get_all(header::CONNECTION)
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect()
-}
-
-/// Whether a header concerns one connection only.
-pub(crate) fn is_hop_by_hop(name: &HeaderName) -> bool {
-    matches!(
-        name.as_str(),
-        "connection"
-            | "keep-alive"
-            | "proxy-authenticate"
-            | "proxy-authorization"
-            | "proxy-connection"
-            | "te"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-            | "expect"
-    )
-}
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -4,22 +4,28 @@
 mod attempt;
 mod body;
 mod job;
+mod order;
 mod patience;
-mod plain;
 mod relay;
-mod stream;
+mod report;
+mod run;
 
 use std::rc::Rc;
 
 use actix_web::web::Payload;
 use actix_web::{HttpRequest, HttpResponse};
-use lapismoor_core::admission::Refusal;
+use lapismoor_core::admission::{Claim, Refusal};
 use lapismoor_core::ids::hash_parts;
-use lapismoor_core::routing::{Route, RoutingConfig};
+use lapismoor_core::routing::{Preference, Route, RoutingConfig, Workspace};
 
 use crate::context::Edge;
 use crate::dialect::Envelope;
-use job::{CallerGuard, Job};
+pub(crate) use attempt::WholeAnswer;
+pub(crate) use job::{CallerGuard, Job};
+pub(crate) use order::{Order, end_to_end};
+pub(crate) use relay::Relay;
+pub(crate) use report::refused as report_refused;
+pub(crate) use run::{Ending, run};
 
 /// Answers one request.
 pub(crate) async fn serve(edge: Rc<Edge>, request: HttpRequest, payload: Payload) -> HttpResponse {
@@ -31,29 +37,39 @@
     };
     let admitted = match admit(&edge, &request, &envelope) {
         Ok(admitted) => admitted,
-        Err(refusal) => return answers::refused(&edge, &envelope.id, received, &refusal),
+        Err(refusal) => {
+            report::refused(&edge, &envelope.id, received, &refusal);
+            return answers::refused(&edge, &refusal);
+        }
     };
     let limit = admitted.config.limits().max_body_bytes;
     let body = match body::read(payload, limit).await {
         Ok(body) => body,
         Err(error) => return answers::bad_body(&edge, &envelope.id, &error),
     };
-    let mut job = Job::new(edge, guard, admitted, envelope, &request, body, received);
-    if let Err(refusal) = job.enter().await {
-        return answers::refused(&job.edge, &job.envelope.id, received, &refusal);
-    }
-    if job.route.is_stream() {
-        stream::serve(job).await
-    } else {
-        plain::serve(job).await
-    }
+    let order = Order {
+        config_version: admitted.config.version(),
+        service: service(&admitted.route, &envelope),
+        claim: claim(&admitted),
+        workspace: admitted.workspace.map(|workspace| workspace.name),
+        route: admitted.route,
+        preference: Preference::default(),
+        method: request.method().clone(),
+        uri: request.uri().clone(),
+        headers: order::passed_on(&edge, request.headers()),
+        envelope,
+        body,
+        received,
+    };
+    let ending = run(Job::new(Rc::clone(&edge), guard, order)).await;
+    answers::of(&edge, ending)
 }
 
 /// What the configuration says of a request.
-pub(crate) struct Admitted {
+struct Admitted {
     config: Rc<RoutingConfig>,
     route: Rc<Route>,
-    workspace: Option<lapismoor_core::routing::Workspace>,
+    workspace: Option<Workspace>,
 }
 
 fn admit(edge: &Edge, request: &HttpRequest, envelope: &Envelope) -> Result<Admitted, Refusal> {
@@ -62,9 +78,7 @@
     }
     let config = edge.config().ok_or(Refusal::NoConfiguration)?;
     let connection = request.connection_info();
-    let host = connection.host();
-    let host = host.split_once(':').map_or(host, |(name, _)| name);
-    let Some(route) = config.route(host, request.path()) else {
+    let Some(route) = config.route(host_name(connection.host()), request.path()) else {
         return Err(edge.unless_stale(Refusal::NoRoute));
     };
     let route = Rc::clone(route);
@@ -85,7 +99,7 @@
     edge: &Edge,
     config: &RoutingConfig,
     envelope: &Envelope,
-) -> Result<lapismoor_core::routing::Workspace, Refusal> {
+) -> Result<Workspace, Refusal> {
     let state = edge.state.borrow();
     if !state.freshness.may_accept_keys(edge.now()) {
         return Err(Refusal::StaleConfiguration);
@@ -96,6 +110,25 @@
     workspace.ok_or_else(|| edge.unless_stale(Refusal::UnknownKey))
 }
 
+/// The part of a prompt that others share decides the service, so that a chat stays with it.
+fn service(route: &Route, envelope: &Envelope) -> lapismoor_core::ids::ServiceId {
+    let shared = envelope.parts.iter().rev().nth(1);
+    let split_key = shared.map_or_else(|| request_hash(&envelope.id), |part| part.id);
+    route.service_for(split_key).clone()
+}
+
+fn claim(admitted: &Admitted) -> Claim {
+    let workspace = admitted.workspace.as_ref();
+    let own_rank = workspace.and_then(|workspace| workspace.rank);
+    Claim {
+        rank: own_rank.unwrap_or(admitted.route.rank),
+        workspace: workspace
+            .map(|workspace| workspace.name.clone())
+            .unwrap_or_default(),
+        weight: 1,
+    }
+}
+
 impl Edge {
     /// What is not known here may be known to the store by now, if the store was not heard of for
     /// too long.
@@ -109,6 +142,11 @@
     }
 }
 
+/// The name of a host, without its port.
+pub(crate) fn host_name(host: &str) -> &str {
+    host.split_once(':').map_or(host, |(name, _)| name)
+}
+
 /// Hash by which requests of equal standing are spread.
 fn request_hash(id: &str) -> u64 {
     hash_parts(&[id.as_bytes()])
--- a/crates/edge/src/serve/relay.rs
+++ b/crates/edge/src/serve/relay.rs
@@ -1,8 +1,6 @@
 //! Passes the events of a stream on. When the target breaks off, another one goes on after the
 //! last event that the caller got, if the route allows that.
 
-use std::io;
-
 use bytes::Bytes;
 use futures::Stream;
 use lapismoor_core::Moment;
@@ -10,9 +8,9 @@
 use lapismoor_core::routing::Choice;
 use lapismoor_core::stream::EventSplitter;
 
-use super::answers;
 use super::attempt::{self, Answer, FailedAttempt};
 use super::job::Job;
+use super::report;
 
 /// A stream between a target and a caller.
 pub(crate) struct Relay {
@@ -41,25 +39,21 @@
         }
     }
 
-    /// The events. An error breaks the caller's connection off, so that a stream which is not
-    /// whole never looks whole.
-    pub(crate) fn into_stream(self) -> impl Stream<Item = Result<Bytes, io::Error>> {
+    /// The events; an error tells why the stream is not whole.
+    pub(crate) fn into_stream(self) -> impl Stream<Item = Result<Bytes, &'static str>> {
         futures::stream::unfold(Some(self), |relay| async {
             let mut relay = relay?;
             match relay.next().await {
                 Ok(Step::Events(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(Step::End) => {
                     let target_id = relay.answer.target_id.clone();
-                    answers::log_served(&relay.job, &target_id, 200);
+                    report::served(&relay.job, &target_id, 200);
                     relay.answer.give_back(&relay.job);
                     None
                 }
                 Err(cause) => {
-                    answers::log_broken_off(&relay.job, cause, relay.splitter.last_id());
-                    // The server drops what it has not written when the body fails; events that
-                    // came with the end are written first.
-                    tokio::task::yield_now().await;
-                    Some((Err(io::Error::other(cause)), None))
+                    report::broken_off(&relay.job, cause, relay.splitter.last_id());
+                    Some((Err(cause), None))
                 }
             }
         })
@@ -99,6 +93,7 @@
             self.job.edge.target_heard(self.answer.target);
             let events = self.splitter.push(&bytes).map_err(|_| "event_too_large")?;
             if !events.is_empty() {
+                self.job.is_delivering = true;
                 self.measure();
                 return Ok(Step::Events(events));
             }
@@ -127,7 +122,7 @@
         };
         loop {
             let step = self.job.after(self.choice.target, &failed.end);
-            answers::log_failed_attempt(&self.job, &self.choice, &failed, &step);
+            report::attempt_failed(&self.job, &self.choice, &failed, &step);
             if step != NextStep::Retry {
                 return Err(cause);
             }
--- /dev/null
+++ b/crates/edge/src/serve/run.rs
@@ -0,0 +1,117 @@
+//! Runs one request to its end: sends it, judges what comes, sends it again where that is right.
+
+use lapismoor_core::admission::Refusal;
+use lapismoor_core::retry::{AttemptEnd, NextStep};
+use lapismoor_core::routing::NoTarget;
+
+use actix_http::ResponseHead;
+
+use super::attempt::{self, Answer, FailedAttempt, WholeAnswer};
+use super::job::Job;
+use super::relay::Relay;
+use super::report;
+
+/// Longest answer that is kept until it is whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// How a request ended.
+pub(crate) enum Ending {
+    /// A whole answer of a target.
+    Whole(WholeAnswer),
+    /// The head of a stream, and its events as they come.
+    Stream(ResponseHead, Box<Relay>),
+    /// No target ran it.
+    Refused(Refusal),
+    /// A target may have run it.
+    Failed {
+        /// What happened.
+        cause: &'static str,
+        /// Whether its time was over.
+        is_late: bool,
+        /// A target's own failure, to be passed on.
+        answer: Option<WholeAnswer>,
+    },
+}
+
+/// Runs a request.
+pub(crate) async fn run(mut job: Job) -> Ending {
+    if let Err(refusal) = job.enter().await {
+        return refuse(&job, refusal);
+    }
+    let mut last_failure = None;
+    loop {
+        let choice = match job.choose() {
+            Ok(choice) => choice,
+            Err(reason) => return no_target(&job, &reason, last_failure),
+        };
+        let failed = match attempt::run(&job, &choice, job.envelope.last_event).await {
+            Ok(answer) if job.route.is_stream() && answer.head.status.is_success() => {
+                let head = attempt::clone_head(&answer.head);
+                return Ending::Stream(head, Box::new(Relay::new(job, choice, answer)));
+            }
+            Ok(answer) => match finish(&job, answer).await {
+                Ok(whole) => return Ending::Whole(whole),
+                Err(failed) => failed,
+            },
+            Err(failed) => failed,
+        };
+        let step = job.after(choice.target, &failed.end);
+        report::attempt_failed(&job, &choice, &failed, &step);
+        last_failure = failed.answer.or(last_failure);
+        match step {
+            NextStep::Retry => {}
+            step => return give_up(&job, &step, failed.cause, last_failure),
+        }
+    }
+}
+
+async fn finish(job: &Job, mut answer: Answer) -> Result<WholeAnswer, FailedAttempt> {
+    match attempt::collect(job, &mut answer, MAX_ANSWER_BYTES).await {
+        Ok(body) => {
+            let whole = WholeAnswer {
+                head: attempt::clone_head(&answer.head),
+                body,
+            };
+            report::served(job, &answer.target_id, answer.head.status.as_u16());
+            answer.give_back(job);
+            Ok(whole)
+        }
+        Err(error) => {
+            job.edge.target_answered(answer.target, true);
+            Err(FailedAttempt {
+                end: AttemptEnd::Unknown,
+                cause: error.name(),
+                answer: None,
+            })
+        }
+    }
+}
+
+fn refuse(job: &Job, refusal: Refusal) -> Ending {
+    report::refused(&job.edge, &job.envelope.id, job.received, &refusal);
+    Ending::Refused(refusal)
+}
+
+fn no_target(job: &Job, reason: &NoTarget, last_failure: Option<WholeAnswer>) -> Ending {
+    if job.progress.runs > 0 {
+        return give_up(job, &NextStep::PassOn, "no_target", last_failure);
+    }
+    let refusal = match reason {
+        NoTarget::NoneInUse => Refusal::NoTarget,
+        NoTarget::NoneReachable => Refusal::Unreachable,
+    };
+    refuse(job, refusal)
+}
+
+fn give_up(job: &Job, step: &NextStep, cause: &'static str, answer: Option<WholeAnswer>) -> Ending {
+    if *step == NextStep::RefuseNotRun {
+        return refuse(job, Refusal::Busy);
+    }
+    let is_late = job.time_left().is_zero();
+    report::failed(job, cause, answer.as_ref(), is_late);
+    Ending::Failed {
+        cause,
+        is_late,
+        answer,
+    }
+}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -4,12 +4,15 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use lapismoor_caller::CallerSettings;
 use lapismoor_core::ids::{DaemonId, FailureDomain};
+use lapismoor_core::once::OnceSettings;
 use lapismoor_core::retry::BudgetSettings;
 use lapismoor_core::routing::LoadBound;
+use serde::{Deserialize, Serialize};
 
 /// Settings of a daemon.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
     /// Name of the daemon.
     pub daemon: DaemonId,
@@ -17,8 +20,8 @@
     pub domain: FailureDomain,
     /// Address for callers.
     pub caller_address: SocketAddr,
-    /// Address for the balancer's question whether the daemon is ready.
-    pub ready_address: SocketAddr,
+    /// Address of its own for the balancer's question whether the daemon is ready, if there is one.
+    pub ready_address: Option<SocketAddr>,
     /// Address for other daemons.
     pub peer_address: SocketAddr,
     /// Bandwidth of the VM, in megabits a second.
@@ -29,6 +32,10 @@
     pub limits: FleetLimits,
     /// File for spans as JSON lines; none writes no spans.
     pub trace_file: Option<PathBuf>,
+    /// What callers of profiles may send.
+    pub callers: CallerSettings,
+    /// Tickets, idempotency keys, kept answers.
+    pub once: OnceSettings,
     /// How the daemon works.
     pub tuning: Tuning,
 }
@@ -51,32 +58,43 @@
 }
 
 /// How the daemon works.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct Tuning {
     /// Time for a new connection to a target; a lost first packet is sent again only after a
     /// second, and another target answers sooner.
+    #[serde(rename = "connect_timeout_ms", with = "crate::millis::whole")]
     pub connect_timeout: Duration,
     /// Time without a byte from a target after which it is taken for gone.
+    #[serde(rename = "silence_ms", with = "crate::millis::whole")]
     pub silence: Duration,
     /// Time without an event after which a stream goes on elsewhere.
+    #[serde(rename = "event_silence_ms", with = "crate::millis::whole")]
     pub event_silence: Duration,
     /// Multiple of a route's aim after which a repeatable request goes elsewhere.
     pub patience_aims: u32,
     /// Idle time of a connection to a target that names no limit of its own.
+    #[serde(rename = "target_idle_ms", with = "crate::millis::whole")]
     pub target_idle: Duration,
     /// Idle time of a caller's connection.
+    #[serde(rename = "caller_idle_ms", with = "crate::millis::whole")]
     pub caller_idle: Duration,
     /// Time for which a stopping daemon takes requests until the balancer knows: two questions, a
     /// second apart, and some.
+    #[serde(rename = "stop_linger_ms", with = "crate::millis::whole")]
     pub stop_linger: Duration,
     /// Part of the stop grace that is kept free, so that the process ends by itself.
+    #[serde(rename = "stop_reserve_ms", with = "crate::millis::whole")]
     pub stop_reserve: Duration,
     /// Longest wait for changes in the store: with the time to gather changes, two fifths of the
     /// usual revocation bound, so that three fifths are left when the store goes away.
+    #[serde(rename = "store_wait_ms", with = "crate::millis::whole")]
     pub store_wait: Duration,
     /// Time for a list of everything: some megabytes in the largest fleets.
+    #[serde(rename = "list_timeout_ms", with = "crate::millis::whole")]
     pub list_timeout: Duration,
     /// As `store_wait` where other daemons depend on it; few daemons do this for all.
+    #[serde(rename = "reader_wait_ms", with = "crate::millis::whole")]
     pub reader_wait: Duration,
     /// Part of the bound on a change, in percent, for which further changes are gathered before
     /// the store is asked again.
@@ -84,14 +102,18 @@
     /// The same where other daemons depend on it.
     pub reader_gather_percent: u32,
     /// Longest wait for news from another daemon; costs a message within the failure domain.
+    #[serde(rename = "mirror_wait_ms", with = "crate::millis::whole")]
     pub mirror_wait: Duration,
     /// Time for an answer of another daemon, beside the wait.
+    #[serde(rename = "mirror_timeout_ms", with = "crate::millis::whole")]
     pub mirror_timeout: Duration,
     /// Greatest age of what another daemon knows. With a silent daemon after that, and another
     /// one asked, a change is still known within the shortest bound on changes of a large fleet,
     /// 3 s.
+    #[serde(rename = "mirror_age_ms", with = "crate::millis::whole")]
     pub mirror_age: Duration,
     /// Time for an answer of the store, beside the wait.
+    #[serde(rename = "store_timeout_ms", with = "crate::millis::whole")]
     pub store_timeout: Duration,
     /// Served requests of which one is logged.
     pub log_every: u32,
