--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_web::web::Payload;
-use actix_web::{App, HttpRequest, HttpResponse, rt, web};
+use actix_web::{App, HttpRequest, HttpResponse, guard, rt, web};
 use lapismoor_core::Clock;
 use lapismoor_core::admission::StopPhase;
 use lapismoor_core::membership::DaemonRecord;
@@ -18,6 +18,7 @@
 use crate::context::Edge;
 use crate::dialect::Dialect;
 use crate::listeners::Listeners;
+use crate::profiles;
 use crate::serve;
 use crate::server;
 use crate::settings::EdgeSettings;
@@ -75,10 +76,12 @@
     store: StoreClient,
 ) -> Result<(), StartError> {
     let spans = open_spans(&settings)?;
-    let edge = Edge::new(settings, spans, clock, dialect);
+    let edge = Edge::new(settings, spans, clock, dialect, store.clone());
     let accepting = CancellationToken::new();
     serve_callers(&edge, listeners.callers, &accepting);
-    serve_balancer(&edge, listeners.ready);
+    if let Some(ready) = listeners.ready {
+        serve_balancer(&edge, ready);
+    }
     serve_metrics(&edge, listeners.metrics);
     let peer_address = listeners.peers.local_addr().context(ListenSnafu {
         address: edge.settings.peer_address,
@@ -88,11 +91,15 @@
         listeners.peers,
         telling(&edge),
         log_peer_error,
+        edge.peer_bytes.clone(),
     ));
     let record = DaemonRecord {
         id: edge.settings.daemon.clone(),
         domain: edge.settings.domain.clone(),
+        incarnation: edge.incarnation(),
         address: peer_address,
+        caller_address: Some(edge.settings.caller_address),
+        operator_address: Some(edge.settings.metrics_address),
         link_mbps: edge.settings.link_mbps,
     };
     rt::spawn(follow(Rc::clone(&edge), store.clone()));
@@ -118,9 +125,21 @@
 
 fn serve_callers(edge: &Rc<Edge>, listener: TcpListener, stop: &CancellationToken) {
     let for_requests = Rc::clone(edge);
-    let app = App::new().default_service(web::to(move |request: HttpRequest, payload: Payload| {
-        serve::serve(Rc::clone(&for_requests), request, payload)
-    }));
+    let for_guard = Rc::clone(edge);
+    let by_profile = web::scope("")
+        .guard(guard::fn_guard(move |request| {
+            profiles::takes(&for_guard, request.head())
+        }))
+        .configure(lapismoor_caller::routes);
+    let app = App::new()
+        .app_data(web::Data::new(profiles::gateway(edge)))
+        .app_data(web::PayloadConfig::new(
+            edge.settings.callers.max_body_bytes,
+        ))
+        .service(by_profile)
+        .default_service(web::to(move |request: HttpRequest, payload: Payload| {
+            serve::serve(Rc::clone(&for_requests), request, payload)
+        }));
     let idle = edge.settings.tuning.caller_idle;
     rt::spawn(server::serve(listener, app, idle, stop.clone()));
 }
@@ -176,6 +195,7 @@
         tokio::time::sleep(HOUSEKEEPING).await;
         let now = edge.now();
         edge.connections.sweep(now);
+        edge.state.borrow_mut().ledger.sweep(now);
         let given_up = edge.state.borrow_mut().directory.sweep(now);
         for id in given_up {
             log::info!(target:% = id; "target_given_up");
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -18,8 +18,16 @@
     pub is_ready: bool,
     /// Whether its planned stop began.
     pub is_stopping: bool,
-    /// Version of the configuration in force.
+    /// Version of the configuration of routes in force.
     pub config_version: Option<u64>,
+    /// Revision of the configuration of profiles in force; zero if there is none.
+    pub revision: u64,
+    /// Bytes exchanged with other daemons.
+    pub peer_bytes: u64,
+    /// Bytes exchanged with the store.
+    pub store_bytes: u64,
+    /// Requests under tickets and keys that are remembered.
+    pub remembered: usize,
     /// Age of what is known of the store, in milliseconds.
     pub store_age_ms: Option<u64>,
     /// Requests of callers in flight.
@@ -51,6 +59,14 @@
     pub heard_ms_ago: u64,
 }
 
+impl TargetStatus {
+    /// Whether it gets new requests.
+    #[must_use]
+    pub fn is_in_use(&self) -> bool {
+        self.standing == "InUse" && !self.is_paused
+    }
+}
+
 impl Status {
     /// What the daemon believes now.
     #[must_use]
@@ -62,7 +78,11 @@
             daemon: edge.settings.daemon.clone(),
             is_ready: edge.is_ready(),
             is_stopping: edge.stopping.is_cancelled(),
-            config_version: state.config.as_ref().map(|config| config.version()),
+            config_version: state.config.version(),
+            revision: state.profiles.version().unwrap_or_default(),
+            peer_bytes: edge.peer_bytes.get(),
+            store_bytes: edge.store.bytes.get(),
+            remembered: state.ledger.len(),
             store_age_ms: state.freshness.age(now).map(millis),
             in_flight: edge.in_flight.get(),
             traffic_share: state.share.get(),
--- a/crates/edge/src/store/announce.rs
+++ b/crates/edge/src/store/announce.rs
@@ -5,8 +5,9 @@
 
 use lapismoor_core::ids::hash_parts;
 use lapismoor_core::membership::DaemonRecord;
+use lapismoor_core::store::LeaseId;
 
-use super::client::{LeaseId, StoreClient, StoreError};
+use super::client::{StoreClient, StoreError};
 use crate::context::Edge;
 
 /// Time after which the announcement of a lost daemon ends. Others notice its loss by themselves;
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -1,9 +1,12 @@
 //! What the daemon believes after each thing that the store says.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use lapismoor_core::Moment;
+use lapismoor_core::config::{Accepted, Offered};
 use lapismoor_core::membership::{DaemonRecord, DirectoryChange, TargetEntry};
+use lapismoor_core::routing::RoutingConfig;
 
 use super::fact::Fact;
 use crate::context::Edge;
@@ -12,9 +15,10 @@
 pub(super) fn apply(edge: &Edge, now: Moment, fact: Fact) {
     match fact {
         Fact::Configuration(config) => apply_config(edge, *config),
-        Fact::UnreadableConfiguration { reason } => {
-            let kept = edge.config().map(|config| config.version());
-            log::error!(reason:%, version_kept = kept; "configuration_unreadable");
+        Fact::Profiles(accepted) => apply_profiles(edge, accepted),
+        Fact::UnreadableConfiguration { key, reason } => {
+            let kept = edge.config_version();
+            log::error!(key:%, reason:%, version_kept = kept; "configuration_unreadable");
         }
         Fact::Target(entry) => apply_target(edge, now, entry),
         Fact::UnreadableTarget { id, reason } => {
@@ -40,19 +44,34 @@
     }
 }
 
-fn apply_config(edge: &Edge, config: lapismoor_core::routing::RoutingConfig) {
-    let mut state = edge.state.borrow_mut();
-    let known = state.config.as_ref().map(|config| config.version());
+fn apply_config(edge: &Edge, config: RoutingConfig) {
     let version = config.version();
-    if known.is_some_and(|known| known >= version) {
-        if known != Some(version) {
-            log::warn!(version, version_kept = known; "configuration_older_ignored");
+    let (routes, services, keys) = config.sizes();
+    let mut state = edge.state.borrow_mut();
+    match state.config.offer(version, Rc::new(config)) {
+        Offered::InForce { before } => {
+            log::info!(version, version_before = before, routes, services, keys; "configuration_in_force");
         }
-        return;
+        Offered::Older { kept } => ignored(version, kept),
+        Offered::Known => {}
     }
-    let (routes, services, keys) = config.sizes();
-    log::info!(version, version_before = known, routes, services, keys; "configuration_in_force");
-    state.config = Some(Rc::new(config));
+}
+
+fn apply_profiles(edge: &Edge, accepted: Arc<Accepted>) {
+    let version = accepted.revision;
+    let profiles = accepted.config.profiles.len();
+    let mut state = edge.state.borrow_mut();
+    match state.profiles.offer(version, accepted) {
+        Offered::InForce { before } => {
+            log::info!(version, version_before = before, profiles; "profiles_in_force");
+        }
+        Offered::Older { kept } => ignored(version, kept),
+        Offered::Known => {}
+    }
+}
+
+fn ignored(version: u64, version_kept: u64) {
+    log::warn!(version, version_kept; "configuration_older_ignored");
 }
 
 fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry) {
--- a/crates/edge/src/store/client.rs
+++ b/crates/edge/src/store/client.rs
@@ -1,5 +1,6 @@
 //! Calls to the store, as an adapter offers them.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,13 +8,11 @@
 use futures::future::LocalBoxFuture;
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::{DaemonRecord, StoreItem};
+use lapismoor_core::store::{LeaseId, StoreRequest, StoreResult};
 use snafu::Snafu;
 
 use super::fact::Fact;
 
-/// Number of a lease in the store.
-pub type LeaseId = u64;
-
 /// Items up to a position in the store's history.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
@@ -62,6 +61,10 @@
     pub announce: Rc<dyn Fn(DaemonRecord, Duration) -> StoreCall<LeaseId>>,
     /// Renews a lease.
     pub renew: Rc<dyn Fn(LeaseId) -> StoreCall<()>>,
+    /// Makes a call about the product's own records.
+    pub call: Rc<dyn Fn(StoreRequest) -> LocalBoxFuture<'static, StoreResult>>,
+    /// Bytes exchanged with the store.
+    pub bytes: Rc<Cell<u64>>,
     /// What an item says; none if it concerns nobody here.
     pub decode: fn(&StoreItem) -> Option<Fact>,
 }
--- a/crates/edge/src/store/fact.rs
+++ b/crates/edge/src/store/fact.rs
@@ -1,6 +1,9 @@
 //! One thing that the store says.
 
+use std::sync::Arc;
+
 use compact_str::CompactString;
+use lapismoor_core::config::Accepted;
 use lapismoor_core::ids::{DaemonId, TargetId};
 use lapismoor_core::membership::{DaemonRecord, TargetEntry};
 use lapismoor_core::routing::RoutingConfig;
@@ -8,10 +11,14 @@
 /// One thing that the store says.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fact {
-    /// The newest configuration.
+    /// The newest configuration of routes.
     Configuration(Box<RoutingConfig>),
+    /// The newest configuration of profiles.
+    Profiles(Arc<Accepted>),
     /// A configuration that cannot be read.
     UnreadableConfiguration {
+        /// Its key in the store.
+        key: CompactString,
         /// Field and problem.
         reason: CompactString,
     },
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -6,7 +6,7 @@
 
 use lapismoor_core::Moment;
 use lapismoor_core::ids::StoreRevision;
-use lapismoor_core::membership::{Source, Sources, StoreItem};
+use lapismoor_core::membership::{Source, Sources, StoreItem, greatest_age};
 
 use super::apply::apply;
 use super::client::{StoreClient, StoreError};
@@ -63,7 +63,7 @@
         let told = asker
             .ask(&edge, &progress.source, progress.revision, wait)
             .await;
-        match told.and_then(|told| fresh_enough(&edge, &progress.source, told)) {
+        match told.and_then(|told| progress.fresh_enough(&edge, told)) {
             Ok(told) => progress.succeeded(&edge, &client, told).await,
             Err(error) => progress.failed(&edge, &error).await,
         }
@@ -85,18 +85,6 @@
     }
 }
 
-/// Knowledge as old as that of a daemon which lost the store is no answer.
-fn fresh_enough(edge: &Edge, source: &Source, told: Told) -> Result<Told, StoreError> {
-    let age = edge.now().saturating_sub(told.known_at);
-    let is_from_daemon = matches!(source, Source::Daemon(_));
-    if is_from_daemon && age > edge.settings.tuning.mirror_age {
-        return Err(StoreError::Unavailable {
-            reason: "what it knows is too old".into(),
-        });
-    }
-    Ok(told)
-}
-
 /// Greatest age of what is known while nothing fails.
 fn usual_age(edge: &Edge) -> Duration {
     let tuning = &edge.settings.tuning;
@@ -134,6 +122,20 @@
         is_new && self.revision.is_none() && matches!(self.source, Source::Daemon(_))
     }
 
+    /// Knowledge as old as that of a daemon which lost the store is no answer.
+    fn fresh_enough(&self, edge: &Edge, told: Told) -> Result<Told, StoreError> {
+        let tuning = &edge.settings.tuning;
+        let age = edge.now().saturating_sub(told.known_at);
+        let is_list = self.revision.is_none();
+        let most = greatest_age(tuning.mirror_age, tuning.list_timeout, is_list);
+        if matches!(self.source, Source::Daemon(_)) && age > most {
+            return Err(StoreError::Unavailable {
+                reason: "what it knows is too old".into(),
+            });
+        }
+        Ok(told)
+    }
+
     fn reads_for_others(&self, edge: &Edge) -> bool {
         self.sources.reads_for_others(&edge.state.borrow().daemons)
     }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -9,7 +9,7 @@
 mod telling;
 
 pub(crate) use announce::announce;
-pub use client::{Changes, LeaseId, StoreCall, StoreClient, StoreError};
+pub use client::{Changes, StoreCall, StoreClient, StoreError};
 pub use fact::Fact;
 pub(crate) use follow::follow;
 pub(crate) use telling::telling;
--- a/crates/edge/src/store/question.rs
+++ b/crates/edge/src/store/question.rs
@@ -97,7 +97,7 @@
         wait: Duration,
     ) -> Result<Told, StoreError> {
         let asked_at = edge.now();
-        let mirror = self.connected(address).await?;
+        let mirror = self.connected(edge, address).await?;
         let answer = match after {
             None => mirror.list().await,
             Some(revision) => mirror.watch(revision, wait).await,
@@ -115,14 +115,18 @@
         })
     }
 
-    async fn connected(&mut self, address: SocketAddr) -> Result<&MirrorClient, StoreError> {
+    async fn connected(
+        &mut self,
+        edge: &Edge,
+        address: SocketAddr,
+    ) -> Result<&MirrorClient, StoreError> {
         let is_same = self
             .mirror
             .as_ref()
             .is_some_and(|(known, _)| *known == address);
         if !is_same {
             self.mirror = None;
-            let connected = MirrorClient::connect(address).await;
+            let connected = MirrorClient::connect(address, edge.peer_bytes.clone()).await;
             let mirror = connected.map_err(|error| to_store_error(&error))?;
             self.mirror = Some((address, mirror));
         }
--- a/crates/lapismoorctl/src/config.rs
+++ b/crates/lapismoorctl/src/config.rs
@@ -3,9 +3,8 @@
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use lapismoor_core::change::{Change, ChangeOutcome, Step};
-use lapismoor_core::config::Config;
-use lapismoor_platform::KeyValue;
+use lapismoor_core::config::{Change, ChangeOutcome, Config, Step};
+use lapismoor_edge::StoreClient;
 use serde_json::json;
 use snafu::ResultExt;
 
@@ -46,7 +45,7 @@
     ))
 }
 
-pub(crate) async fn show(store: &KeyValue, json: bool) -> Result<String, CommandError> {
+pub(crate) async fn show(store: &StoreClient, json: bool) -> Result<String, CommandError> {
     let accepted = store::accepted(store).await?;
     if json {
         return Ok(format!("{}\n", json!(*accepted)));
@@ -56,7 +55,7 @@
 }
 
 pub(crate) async fn apply(
-    store: &KeyValue,
+    store: &StoreClient,
     file: &Path,
     base: Option<u64>,
     json: bool,
@@ -65,7 +64,7 @@
     let mut change = Change::new(config, base, rand::random(), now_ms());
     let mut call = change.begin();
     loop {
-        let result = store.call(&call).await;
+        let result = store::call(store, call).await;
         match change.next(&result) {
             Step::Call(next) => call = next,
             Step::Done(outcome) => return report(&outcome, json),
@@ -84,7 +83,9 @@
         ChangeOutcome::Conflict { revision } => Err(CommandError::Conflict {
             revision: *revision,
         }),
-        ChangeOutcome::NotWritten => Err(CommandError::NoAnswer),
+        ChangeOutcome::NotWritten => Err(CommandError::NoAnswer {
+            reason: "before the change was written".into(),
+        }),
         ChangeOutcome::Unknown => Err(CommandError::UnknownEffect),
     }
 }
--- a/crates/lapismoorctl/src/error.rs
+++ b/crates/lapismoorctl/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use compact_str::CompactString;
 use lapismoor_core::config::ConfigError;
 use snafu::Snafu;
 
@@ -11,8 +12,10 @@
 pub(crate) enum CommandError {
     #[snafu(display("name the key-value service: --key-value IP:PORT or LAPISMOOR_KEY_VALUE"))]
     NoAddress,
-    #[snafu(display("the key-value service does not answer; nothing was changed, try again"))]
-    NoAnswer,
+    #[snafu(display(
+        "the key-value service does not answer ({reason}); nothing was changed, try again"
+    ))]
+    NoAnswer { reason: CompactString },
     #[snafu(display("no configuration was accepted yet; run 'lapismoorctl config apply FILE'"))]
     NoConfig,
     #[snafu(display("there is no profile '{name}'; 'lapismoorctl profile list' lists them"))]
@@ -53,7 +56,10 @@
 impl CommandError {
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Self::NoAnswer | Self::NoConfig | Self::NoProfile { .. } | Self::NoStatus { .. } => 1,
+            Self::NoAnswer { .. }
+            | Self::NoConfig
+            | Self::NoProfile { .. }
+            | Self::NoStatus { .. } => 1,
             Self::NoAddress
             | Self::Unreadable { .. }
             | Self::Invalid { .. }
--- a/crates/lapismoorctl/src/fleet.rs
+++ b/crates/lapismoorctl/src/fleet.rs
@@ -4,10 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lapismoor_core::peers::{DaemonRecord, Peers};
-use lapismoor_core::store::{DAEMONS, Range, StoreAnswer, StoreRequest};
-use lapismoor_operator::Status;
-use lapismoor_platform::KeyValue;
+use compact_str::ToCompactString;
+use lapismoor_core::membership::DaemonRecord;
+use lapismoor_edge::{Fact, Status, StoreClient};
 use serde_json::json;
 
 use crate::error::CommandError;
@@ -16,22 +15,25 @@
 /// Time after which a daemon did not answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-async fn daemons(store: &KeyValue) -> Result<Vec<DaemonRecord>, CommandError> {
-    let request = StoreRequest::Read {
-        ranges: vec![Range {
-            prefix: DAEMONS.into(),
-            changed_after: 0,
-        }],
+async fn daemons(store: &StoreClient) -> Result<Vec<DaemonRecord>, CommandError> {
+    let listed = tokio::time::timeout(TIMEOUT, (store.daemons)()).await;
+    let items = match listed {
+        Ok(Ok(items)) => items,
+        Ok(Err(error)) => return Err(no_answer(&error)),
+        Err(elapsed) => return Err(no_answer(&elapsed)),
     };
-    let answer = store.call(&request).await;
-    let Ok(StoreAnswer::Read { ranges, .. }) = answer else {
-        return Err(CommandError::NoAnswer);
-    };
-    let mut peers = Peers::default();
-    for range in &ranges {
-        peers.replace(Duration::ZERO, &range.records);
+    let records = items.iter().filter_map(store.decode);
+    let records = records.filter_map(|fact| match fact {
+        Fact::Daemon(record) => Some(record),
+        _ => None,
+    });
+    Ok(records.collect())
+}
+
+fn no_answer(error: &impl ToCompactString) -> CommandError {
+    CommandError::NoAnswer {
+        reason: error.to_compact_string(),
     }
-    Ok(peers.all().to_vec())
 }
 
 async fn status(address: SocketAddr) -> Option<Status> {
@@ -45,11 +47,14 @@
 }
 
 async fn statuses(daemons: &[DaemonRecord]) -> Vec<Option<Status>> {
-    let asking = daemons.iter().map(|daemon| status(daemon.operator_address));
+    let asking = daemons.iter().map(|daemon| async {
+        let address = daemon.operator_address?;
+        status(address).await
+    });
     futures::future::join_all(asking).await
 }
 
-pub(crate) async fn config_status(store: &KeyValue, json: bool) -> Result<String, CommandError> {
+pub(crate) async fn config_status(store: &StoreClient, json: bool) -> Result<String, CommandError> {
     let accepted = store::accepted(store).await?.revision;
     let daemons = daemons(store).await?;
     let statuses = statuses(&daemons).await;
@@ -74,36 +79,31 @@
     ))
 }
 
-pub(crate) async fn fleet(store: &KeyValue, json: bool) -> Result<String, CommandError> {
+pub(crate) async fn fleet(store: &StoreClient, json: bool) -> Result<String, CommandError> {
     let daemons = daemons(store).await?;
     let statuses = statuses(&daemons).await;
     if json {
         return Ok(format!("{}\n", json!(statuses)));
     }
     let mut text = format!(
-        "{:16} {:14} {:6} {:>8} {:>8} {:>8}  LEADS\n",
-        "DAEMON", "DOMAIN", "READY", "REVISION", "ACTIVE", "WHOLE"
+        "{:16} {:14} {:6} {:>8} {:>8} {:>8}\n",
+        "DAEMON", "DOMAIN", "READY", "REVISION", "ACTIVE", "TARGETS"
     );
     for (daemon, status) in daemons.iter().zip(&statuses) {
         let Some(status) = status else {
-            let _ = writeln!(
-                text,
-                "{:16} {:14} no answer",
-                daemon.daemon, daemon.failure_domain
-            );
+            let _ = writeln!(text, "{:16} {:14} no answer", daemon.id, daemon.domain);
             continue;
         };
-        let pools: Vec<&str> = status.pools.iter().map(|pool| pool.pool.as_str()).collect();
+        let in_use = status.targets.iter().filter(|target| target.is_in_use());
         let _ = writeln!(
             text,
-            "{:16} {:14} {:6} {:>8} {:>8} {:>8}  {}",
-            daemon.daemon,
-            daemon.failure_domain,
+            "{:16} {:14} {:6} {:>8} {:>8} {:>8}",
+            daemon.id,
+            daemon.domain,
             if status.is_ready { "yes" } else { "no" },
             status.revision,
-            status.active,
-            status.whole,
-            pools.join(",")
+            status.in_flight,
+            in_use.count(),
         );
     }
     Ok(text)
--- a/crates/lapismoorctl/src/profile.rs
+++ b/crates/lapismoorctl/src/profile.rs
@@ -2,13 +2,13 @@
 
 use std::fmt::Write;
 
-use lapismoor_platform::KeyValue;
+use lapismoor_edge::StoreClient;
 use serde_json::json;
 
 use crate::error::CommandError;
 use crate::store;
 
-pub(crate) async fn list(store: &KeyValue, json: bool) -> Result<String, CommandError> {
+pub(crate) async fn list(store: &StoreClient, json: bool) -> Result<String, CommandError> {
     let accepted = store::accepted(store).await?;
     let profiles = &accepted.config.profiles;
     if json {
@@ -30,7 +30,7 @@
     Ok(text)
 }
 
-pub(crate) async fn show(store: &KeyValue, name: &str) -> Result<String, CommandError> {
+pub(crate) async fn show(store: &StoreClient, name: &str) -> Result<String, CommandError> {
     let accepted = store::accepted(store).await?;
     let Some(profile) = accepted.config.profile(name) else {
         return Err(CommandError::NoProfile { name: name.into() });
--- a/crates/lapismoord/src/main.rs
+++ b/crates/lapismoord/src/main.rs
@@ -72,8 +72,8 @@
 }
 
 fn run(settings: Settings) -> ExitCode {
-    if lapismoor::start_logging(&settings.log, &settings.core.daemon).is_err() {
-        eprintln!("logging was already started; start the daemon only once in a process");
+    if let Err(error) = lapismoor::start_logging(&settings) {
+        eprintln!("{error}");
         return ExitCode::FAILURE;
     }
     match actix::System::new().block_on(lapismoor::run(settings)) {
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -12,6 +12,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::MirrorAnswer;
+use crate::counted::{ByteCount, Counted};
 use crate::mirror_capnp::{answer, store_mirror};
 
 /// Time for a new connection within a region.
@@ -60,18 +61,19 @@
 }
 
 impl MirrorClient {
-    /// Connects. Must run on a local task set.
+    /// Connects; `count` counts the bytes exchanged. Must run on a local task set.
     ///
     /// # Errors
     /// [`MirrorError`] when the daemon cannot be reached.
-    pub async fn connect(address: SocketAddr) -> Result<Self, MirrorError> {
+    pub async fn connect(address: SocketAddr, count: ByteCount) -> Result<Self, MirrorError> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let Ok(connected) = connecting.await else {
             return SilentSnafu { address }.fail();
         };
         let stream = connected.context(ConnectSnafu { address })?;
         stream.set_nodelay(true).context(ConnectSnafu { address })?;
-        let (reader, writer) = futures::AsyncReadExt::split(stream.compat());
+        let counted = Counted::new(stream.compat(), count);
+        let (reader, writer) = futures::AsyncReadExt::split(counted);
         let mut options = capnp::message::ReaderOptions::default();
         options.traversal_limit_in_words(Some(MAX_ANSWER_WORDS));
         let network =
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -1,6 +1,7 @@
 //! Daemons read the platform's store for each other: the client and the server of that protocol.
 
 mod client;
+mod counted;
 mod server;
 
 /// Code generated from `schema/mirror.capnp`.
@@ -19,6 +20,7 @@
 use std::time::Duration;
 
 pub use client::{MirrorClient, MirrorError};
+pub use counted::ByteCount;
 pub use server::{MirrorSource, serve};
 
 /// What a daemon tells of the store.
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -10,6 +10,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::MirrorAnswer;
+use crate::counted::{ByteCount, Counted};
 use crate::mirror_capnp::{answer, store_mirror};
 
 /// Pause after a connection could not be accepted; descriptors may be free again then.
@@ -28,14 +29,19 @@
 }
 
 /// Accepts connections of other daemons. Must run on a local task set.
-pub async fn serve(listener: TcpListener, source: MirrorSource, on_error: fn(&std::io::Error)) {
+pub async fn serve(
+    listener: TcpListener,
+    source: MirrorSource,
+    on_error: fn(&std::io::Error),
+    count: ByteCount,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 if let Err(error) = stream.set_nodelay(true) {
                     on_error(&error);
                 }
-                tokio::task::spawn_local(converse(stream, source.clone()));
+                tokio::task::spawn_local(converse(stream, source.clone(), count.clone()));
             }
             Err(error) => {
                 on_error(&error);
@@ -45,8 +51,9 @@
     }
 }
 
-async fn converse(stream: TcpStream, source: MirrorSource) {
-    let (reader, writer) = futures::AsyncReadExt::split(stream.compat());
+async fn converse(stream: TcpStream, source: MirrorSource, count: ByteCount) {
+    let counted = Counted::new(stream.compat(), count);
+    let (reader, writer) = futures::AsyncReadExt::split(counted);
     let network = twoparty::VatNetwork::new(
         reader,
         writer,
--- a/crates/soak/src/compare/mod.rs
+++ b/crates/soak/src/compare/mod.rs
@@ -1,11 +1,12 @@
 //! Compares ways of placing requests on the same seeded traffic and churn.
 
+mod leader;
+mod ours;
 mod policy;
 mod pool;
 mod report;
 mod traffic;
 
-pub(crate) use policy::new_leader;
 pub use policy::{Policy, all};
 pub use report::{Summary, table};
 
@@ -18,8 +19,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::agenda::Agenda;
 use crate::deployment::Deployment;
-use crate::queue::Agenda;
 use pool::Pool;
 use traffic::{Traffic, Wanted};
 
@@ -36,7 +37,11 @@
 
 enum Happening {
     Request,
-    End { engine: usize, number: u64 },
+    End {
+        engine: usize,
+        number: u64,
+        started_at: Moment,
+    },
     Churn,
     Report,
 }
@@ -59,6 +64,8 @@
     pub wanted: Wanted,
     /// When it came.
     pub came_at: Moment,
+    /// Rank that engines are told, 0 first.
+    pub rank: usize,
 }
 
 struct Run<'a> {
@@ -100,11 +107,10 @@
         run.now = at;
         run.happen(&happening);
     }
-    let (refused, control_bytes) = (run.policy.costs)();
+    let refused = (run.policy.refused)();
     let mut summary = run.summary;
     summary.name = run.policy.name;
     summary.refused = refused;
-    summary.control_bytes = control_bytes;
     summary
 }
 
@@ -116,7 +122,11 @@
                 self.agenda.add(self.now + wait, Happening::Request);
                 self.submit(wanted);
             }
-            Happening::End { engine, number } => self.end(*engine, *number),
+            Happening::End {
+                engine,
+                number,
+                started_at,
+            } => self.end(*engine, *number, *started_at),
             Happening::Churn => {
                 self.agenda.add(self.now + CHURN, Happening::Churn);
                 self.churn();
@@ -133,10 +143,16 @@
 
     fn submit(&mut self, wanted: Wanted) {
         self.summary.requests += u64::from(self.counts());
+        let rank = if self.policy.passes_ranks {
+            wanted.class.rank()
+        } else {
+            0
+        };
         let request = Request {
             number: self.summary.next_number(),
             wanted,
             came_at: self.now,
+            rank,
         };
         let start = Instant::now();
         let placed = (self.policy.place)(self.now, &self.pool, &request);
@@ -171,17 +187,19 @@
             let end = Happening::End {
                 engine,
                 number: request.number,
+                started_at: self.now,
             };
             self.agenda.add(self.now + time, end);
         }
     }
 
-    fn end(&mut self, engine: usize, number: u64) {
+    fn end(&mut self, engine: usize, number: u64, started_at: Moment) {
         if !self.pool.end(engine, number) {
             return;
         }
         self.run_queued(engine);
-        let granted = (self.policy.ended)(self.now, &self.pool, engine, number);
+        let took = self.now.saturating_sub(started_at);
+        let granted = (self.policy.ended)(self.now, &self.pool, engine, number, took);
         self.start_all(granted);
     }
 
--- a/crates/soak/src/compare/pool.rs
+++ b/crates/soak/src/compare/pool.rs
@@ -16,6 +16,8 @@
 const PREFILL: Duration = Duration::from_millis(600);
 /// Time between tokens of a lone request.
 const TOKEN: Duration = Duration::from_millis(25);
+/// Requests beside the multiple of the mean, by the users' rule on load.
+const LOAD_EXTRA: f64 = 3.0;
 /// Requests that double the time between tokens.
 const DOUBLING_LOAD: u32 = 24;
 
@@ -90,7 +92,13 @@
         if engine.running.len() >= SLOTS {
             return None;
         }
-        let request = engine.queue.pop_front()?;
+        // Engines honour priorities; those of one class run in order of arrival.
+        let most_urgent = engine.queue.iter().map(|request| request.rank).min()?;
+        let next = engine
+            .queue
+            .iter()
+            .position(|request| request.rank == most_urgent)?;
+        let request = engine.queue.remove(next)?;
         engine.running.push(request.number);
         Some(request)
     }
@@ -150,14 +158,13 @@
         self.leaving = Some(index);
     }
 
-    /// Whether an engine carries more than `max(1, ceil(multiple × mean))`.
+    /// Whether an engine carries more than `multiple × mean + 3`, the users' rule on load.
     #[must_use]
     pub fn is_over_bound(&self, engine: usize, multiple: f64) -> bool {
         let live = self.live();
         let sum: usize = live.iter().map(|index| self.engines[*index].load()).sum();
         let mean = to_f64(sum) / to_f64(live.len().max(1));
-        let bound = (multiple * mean - 1e-9).ceil().max(1.0);
-        to_f64(self.engines[engine].load()) > bound
+        to_f64(self.engines[engine].load()) > multiple * mean + LOAD_EXTRA
     }
 
     /// Greatest load over the mean of the live engines, where the mean is at least 1.
--- a/crates/soak/src/compare/report.rs
+++ b/crates/soak/src/compare/report.rs
@@ -18,12 +18,10 @@
     pub skews: Vec<f64>,
     /// Time from arrival to the start of the run, of urgent requests.
     pub urgent_waits: Vec<Duration>,
-    /// Admissions above `max(1, ceil(multiple × mean))`.
+    /// Admissions above `multiple × mean + 3`.
     pub over_bound: u64,
     /// Requests refused.
     pub refused: u64,
-    /// Messages about requests and reports, in bytes.
-    pub control_bytes: u64,
     last_number: u64,
     decisions: u32,
     decision_time: Duration,
@@ -75,11 +73,11 @@
     sorted.get(position.min(sorted.len().saturating_sub(1)))
 }
 
-/// The table of a comparison. `seconds` is what was counted, `daemons` what shares the messages.
+/// The table of a comparison.
 #[must_use]
-pub fn table(summaries: &[Summary], seconds: u64, daemons: u64) -> String {
+pub fn table(summaries: &[Summary]) -> String {
     let mut text = format!(
-        "{:20} {:>8} {:>7} {:>7} {:>7} {:>6} {:>5} {:>7} {:>9} {:>9} {:>7} {:>9}\n",
+        "{:20} {:>8} {:>7} {:>7} {:>7} {:>6} {:>5} {:>7} {:>9} {:>9} {:>9}\n",
         "POLICY",
         "REQUESTS",
         "REUSE %",
@@ -90,13 +88,12 @@
         "REFUSED",
         "URG p50ms",
         "URG p99ms",
-        "CTL B/s",
         "DECIDE ns"
     );
     for summary in summaries {
         let _ = writeln!(
             text,
-            "{:20} {:8} {:7.1} {:7.2} {:7.2} {:6.2} {:5} {:7} {:9} {:9} {:7} {:9}",
+            "{:20} {:8} {:7.1} {:7.2} {:7.2} {:6.2} {:5} {:7} {:9} {:9} {:9}",
             summary.name,
             summary.requests,
             summary.reuse_percent(),
@@ -107,7 +104,6 @@
             summary.refused,
             summary.urgent_wait_at(50).as_millis(),
             summary.urgent_wait_at(99).as_millis(),
-            summary.control_bytes / seconds.max(1) / daemons.max(1),
             summary.mean_decision().as_nanos(),
         );
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,16 +1,8 @@
-//! Seeded randomised runs of the decisions with faults. A run is a function of its seed.
-//!
-//! The driver carries events between the real cores and small fakes of targets, key-value service
-//! and list of VMs, with delay, loss, reordering, pauses and crashes. It judges from the fakes'
-//! own records.
+//! Proofs and measurements beyond tests: the real programs as processes under seeded faults, ways of
+//! placing requests compared on the same traffic, and what decisions cost as their tables grow.
 
-pub mod callers;
+pub mod agenda;
 pub mod compare;
 pub mod deployment;
-pub mod driver;
-pub mod faults;
-pub mod judge;
-pub mod queue;
+pub mod processes;
 pub mod slopes;
-pub mod store;
-pub mod targets;
--- /dev/null
+++ b/crates/soak/src/processes/run.rs
@@ -0,0 +1,178 @@
+//! One run: a fleet of processes, load, the faults of a seed, and the verdict.
+
+use std::io;
+use std::path::Path;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use demo::caller::Balancer;
+use demo::fleet::{Fleet, FleetSize};
+use demo::load::{Load, LoadPlan};
+use lapismoor_core::config::Config;
+
+use super::judge::judge;
+use super::plan::{FAULTY, Plan};
+use super::player;
+use super::proxy::Proxies;
+
+/// Time between looks at what is due.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time within which the fleet serves everything again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// Requests for each daemon of the fleet.
+const CHATS_PER_DAEMON: usize = 20;
+const CALLS_PER_DAEMON: usize = 10;
+
+/// Numbers of processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size {
+    /// Daemons.
+    pub daemons: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Service targets.
+    pub services: usize,
+}
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// Broken promises.
+    pub broken: Vec<String>,
+    /// The faults.
+    pub plan: Plan,
+    /// Requests.
+    pub requests: usize,
+}
+
+/// Plays a seed with the programs at `program`; logs and records go into `directory`.
+///
+/// # Errors
+/// When processes cannot be started or records not be read.
+pub async fn run(
+    program: &Path,
+    directory: &Path,
+    size: Size,
+    config: &Config,
+    seed: u64,
+) -> io::Result<Outcome> {
+    let fleet_size = FleetSize {
+        daemons: size.daemons,
+        engines: size.engines,
+        services: size.services,
+        tokens: 12,
+        ..FleetSize::midshire()
+    };
+    let proxies = Proxies::default();
+    let for_fleet = proxies.clone();
+    let mut route = move |link, address| for_fleet.add(link, address);
+    let starting = Fleet::start_through(program, directory, &fleet_size, config, &mut route);
+    let mut fleet = starting.await?;
+    let plan = Plan::new(seed, &size, proxies.len());
+    let balancer = Balancer::new(fleet.caller_addresses());
+    let began_ms = now_ms();
+    let load = Load::start(&load_plan(config, &fleet_size, seed), &balancer);
+    let mut broken = play(&mut fleet, &proxies, config, &plan).await?;
+    let reports = load.finish().await;
+    broken.extend(judge(&fleet, &reports, &plan.steps, began_ms)?);
+    broken.extend(is_recovered(&fleet, &balancer, &fleet_size, config).await);
+    Ok(Outcome {
+        broken,
+        plan,
+        requests: reports.chats.len() + reports.billed.len(),
+    })
+}
+
+async fn play(
+    fleet: &mut Fleet,
+    proxies: &Proxies,
+    config: &Config,
+    plan: &Plan,
+) -> io::Result<Vec<String>> {
+    let start = Instant::now();
+    let mut due = plan.steps.clone();
+    let mut endings: Vec<player::Ending> = Vec::new();
+    while !due.is_empty() || !endings.is_empty() {
+        let now = start.elapsed();
+        while due.first().is_some_and(|step| step.at <= now) {
+            let step = due.remove(0);
+            endings.extend(player::begin(fleet, proxies, config, &step).await?);
+        }
+        for ending in endings
+            .extract_if(.., |ending| ending.at <= now)
+            .collect::<Vec<_>>()
+        {
+            player::end(fleet, proxies, ending.fault).await?;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    player::heal(fleet, proxies).await?;
+    // The latest configuration is in force everywhere, and every daemon knows every target.
+    let ready = fleet.wait_until_ready().await;
+    Ok(ready
+        .err()
+        .map(|error| error.to_string())
+        .into_iter()
+        .collect())
+}
+
+/// Every request of a calm moment is answered in full.
+async fn is_recovered(
+    fleet: &Fleet,
+    balancer: &std::rc::Rc<Balancer>,
+    size: &FleetSize,
+    config: &Config,
+) -> Vec<String> {
+    balancer.set(fleet.caller_addresses());
+    let plan = LoadPlan {
+        prefix: "after-".into(),
+        chats: fleet.daemons.len() * 2,
+        turns: 1,
+        billed_calls: fleet.daemons.len(),
+        spread: Duration::from_secs(1),
+        ..load_plan(config, size, 0)
+    };
+    let asking = Load::start(&plan, balancer).finish();
+    let Ok(reports) = tokio::time::timeout(RECOVERY, asking).await else {
+        return vec!["requests after the last fault took too long".into()];
+    };
+    let all = reports.chats.iter().chain(&reports.billed);
+    let failed = all.filter(|report| report.seen != demo::caller::Seen::Whole);
+    let failed: Vec<String> = failed
+        .map(|report| format!("after the last fault: {report:?}"))
+        .collect();
+    let revisions: Vec<u64> = fleet
+        .statuses()
+        .await
+        .iter()
+        .flatten()
+        .map(|status| status.revision)
+        .collect();
+    let newest = revisions.iter().max().copied().unwrap_or(0);
+    let behind = revisions.iter().filter(|known| **known < newest).count();
+    let stale = (behind > 0).then(|| format!("{behind} daemons are behind revision {newest}"));
+    failed.into_iter().chain(stale).collect()
+}
+
+fn load_plan(config: &Config, size: &FleetSize, seed: u64) -> LoadPlan {
+    let workspaces = config.workspaces.iter();
+    LoadPlan {
+        workspaces: workspaces.map(|one| one.name.to_string()).collect(),
+        profiles: vec!["shop-counter".into(), "drive-test".into()],
+        prefix: String::new(),
+        chats: size.daemons * CHATS_PER_DAEMON,
+        turns: 4,
+        spread: FAULTY,
+        pause: Duration::from_secs(2),
+        billed_calls: size.daemons * CALLS_PER_DAEMON,
+        billed_path: format!("{}/billed/postcode", size.service_pool),
+        tokens: size.tokens,
+        seed,
+        keeps_connections: true,
+    }
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let since = since.unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
