Remember requests that crash targets on the path of all requests

Change: a request is suspected when its attempt broke off and its target then turned out to have crashed (refused connection, another run, lapsed entry). Only crashes that follow each other count; a request that is served is cleared; after the third it is refused for 10 s, then a minute, then ten, so that a pool that crashed as a whole does not cost its callers more than seconds. Daemons tell each other from the second crash on, by leased records. Callers of the soak wait for 33 s in place of 75.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -6,6 +6,7 @@
 pub mod rate_limit;
 pub mod refusal;
 pub mod stop_plan;
+pub mod suspects;
 pub mod workspaces;
 
 pub use flight_limit::gate_limits;
@@ -13,4 +14,5 @@
 pub use rate_limit::RateLimit;
 pub use refusal::Refusal;
 pub use stop_plan::{StopPhase, StopPlan};
+pub use suspects::{Suspects, Suspicion};
 pub use workspaces::Workspaces;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,5 @@
 pub mod routing;
 pub mod store;
 pub mod stream;
-pub mod suspects;
 
 pub use clock::{Clock, Moment};
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -14,6 +14,8 @@
 
 /// Key of the operators' configuration of profiles.
 pub const CONFIG: &str = "lapismoor/config";
+/// Prefix of the records of requests that may crash targets.
+pub const SUSPECTS: &str = "lapismoor/suspects/";
 /// Prefix of the records of callers' idempotency keys.
 pub const IDEMPOTENCY: &str = "lapismoor/idempotency/";
 
--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -12,12 +12,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-/// Time that a caller waits for an answer beyond the deadline.
-const GRACE: Duration = Duration::from_secs(15);
 /// Time for a connection to a daemon.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest deadline of the profiles.
-const LONGEST_DEADLINE: Duration = Duration::from_mins(1);
 /// Times that a caller sends a request.
 const MAX_TRIES: usize = 12;
 /// Longest wait before a caller comes back.
@@ -93,7 +89,25 @@
     key: String,
     /// The connection of the last answer, where connections are kept.
     open: Rc<RefCell<Option<(SocketAddr, Connection)>>>,
-    keeps_connections: bool,
+    manners: Manners,
+}
+
+/// How a caller goes about its requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Manners {
+    /// Whether it uses its connections again, until they are closed.
+    pub keeps_connections: bool,
+    /// How long it waits for an answer; longer than the deadline of its profiles.
+    pub patience: Duration,
+}
+
+impl Default for Manners {
+    fn default() -> Self {
+        Self {
+            keeps_connections: false,
+            patience: Duration::from_secs(75),
+        }
+    }
 }
 
 /// A request of a caller.
@@ -117,12 +131,12 @@
 impl Caller {
     /// A caller of a workspace of the example configurations.
     #[must_use]
-    pub fn new(balancer: &Rc<Balancer>, workspace: &str, keeps_connections: bool) -> Self {
+    pub fn new(balancer: &Rc<Balancer>, workspace: &str, manners: Manners) -> Self {
         Self {
             balancer: Rc::clone(balancer),
             key: format!("{workspace}-key"),
             open: Rc::default(),
-            keeps_connections,
+            manners,
         }
     }
 
@@ -193,7 +207,7 @@
     async fn send(&self, address: SocketAddr, sent: &Sent) -> Try {
         let start = std::time::Instant::now();
         let sending = self.exchange(address, sent);
-        match tokio::time::timeout(GRACE + LONGEST_DEADLINE, sending).await {
+        match tokio::time::timeout(self.manners.patience, sending).await {
             Err(_) => lost(),
             Ok(Err(_)) => Try::Unreachable,
             Ok(Ok(answer)) => answer.sort(start),
@@ -217,7 +231,7 @@
         while let Some(bytes) = body.next().await? {
             whole.extend_from_slice(&bytes);
         }
-        if self.keeps_connections
+        if self.manners.keeps_connections
             && let Some(connection) = body.into_connection()
         {
             *self.open.borrow_mut() = Some((address, connection));
@@ -241,7 +255,7 @@
         };
         add("host", &address.to_string());
         add("authorization", &format!("Bearer {}", self.key));
-        if !self.keeps_connections {
+        if !self.manners.keeps_connections {
             add("connection", "close");
         }
         for (name, value) in &sent.headers {
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::caller::{Balancer, Caller, Report};
+use crate::caller::{Balancer, Caller, Manners, Report};
 
 /// Load of a run.
 #[derive(Debug, Clone)]
@@ -34,8 +34,8 @@
     pub tokens: usize,
     /// Seed of pauses and order.
     pub seed: u64,
-    /// Whether callers use their connections again, until they are closed.
-    pub keeps_connections: bool,
+    /// How callers go about their requests.
+    pub manners: Manners,
 }
 
 /// Reports of the callers.
@@ -85,7 +85,7 @@
         delay: Duration,
         seed: u64,
     ) {
-        let caller = Caller::new(balancer, workspace(plan, index), plan.keeps_connections);
+        let caller = Caller::new(balancer, workspace(plan, index), plan.manners);
         let profile = plan.profiles[index % plan.profiles.len()].clone();
         let prefix = plan.prefix.clone();
         let (turns, tokens, pause) = (plan.turns, plan.tokens, plan.pause);
@@ -111,7 +111,7 @@
         index: usize,
         delay: Duration,
     ) {
-        let caller = Caller::new(balancer, workspace(plan, index), plan.keeps_connections);
+        let caller = Caller::new(balancer, workspace(plan, index), plan.manners);
         let path = plan.billed_path.clone();
         let prefix = plan.prefix.clone();
         let (reports, done) = (Rc::clone(&self.reports), Rc::clone(&self.done));
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use demo::caller::Manners;
 use demo::fleet::{Fleet, FleetSize};
 use demo::load::LoadPlan;
 use demo::process::ROLE_ARGUMENT;
@@ -135,7 +136,7 @@
         billed_path: format!("{}/billed/postcode", size.service_pool),
         tokens: size.tokens,
         seed: arguments.seed,
-        keeps_connections: false,
+        manners: Manners::default(),
     }
 }
 
--- a/crates/demo/src/slopes.rs
+++ b/crates/demo/src/slopes.rs
@@ -8,7 +8,7 @@
 use lapismoor_edge::Status;
 use serde_json::Value;
 
-use crate::caller::Balancer;
+use crate::caller::{Balancer, Manners};
 use crate::fleet::{Fleet, FleetSize};
 use crate::load::{Load, LoadPlan};
 use crate::process_use::ProcessUse;
@@ -96,7 +96,7 @@
         billed_path: String::new(),
         tokens: size.tokens,
         seed: 1,
-        keeps_connections: false,
+        manners: Manners::default(),
     };
     let balancer = Balancer::new(fleet.caller_addresses());
     let load = Load::start(&plan, &balancer);
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use demo::caller::{Balancer, Seen};
+use demo::caller::{Balancer, Manners, Seen};
 use demo::fleet::{Fleet, FleetSize, set_faults};
 use demo::judge::{SeenCounts, TargetRecords, at_most_once};
 use demo::load::{Load, LoadPlan, LoadReports};
@@ -62,7 +62,7 @@
         billed_path: format!("{}/billed/postcode", size.service_pool),
         tokens: size.tokens,
         seed: 1,
-        keeps_connections: false,
+        manners: Manners::default(),
     }
 }
 
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lapismoor_core::admission::{StopPlan, Workspaces};
+use actix_web::rt;
+use lapismoor_core::admission::{StopPlan, Suspects, Workspaces};
 use lapismoor_core::config::{Accepted, InForce};
 use lapismoor_core::ids::{Incarnation, ServiceId, TargetId, TargetKey};
 use lapismoor_core::membership::{DaemonRecord, Directory, Freshness, Mirror, TrafficShare};
@@ -28,7 +29,7 @@
 use crate::profiles::KeyLease;
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
-use crate::store::StoreClient;
+use crate::store::{StoreClient, suspects};
 
 /// The daemon.
 pub struct Edge {
@@ -77,6 +78,8 @@
     pub workspaces: Workspaces,
     /// Requests under tickets and keys.
     pub ledger: Ledger,
+    /// Requests that may crash targets.
+    pub suspects: Suspects,
     /// Targets.
     pub directory: Directory,
     /// Copy of the store.
@@ -132,6 +135,7 @@
             profiles: InForce::default(),
             workspaces: Workspaces::default(),
             ledger,
+            suspects: Suspects::default(),
             directory: Directory::default(),
             mirror: Mirror::default(),
             daemons: Vec::new(),
@@ -328,6 +332,23 @@
         }
     }
 
+    /// Takes the sign that a target crashed: what broke off there is suspected of it.
+    pub fn target_crashed(&self, target: TargetKey) {
+        let now = self.now();
+        let risen = self.state.borrow_mut().suspects.crashed(now, target);
+        for suspicion in risen {
+            log::warn!(
+                fingerprint:% = format_args!("{:016x}", suspicion.fingerprint),
+                crashes = suspicion.crashes,
+                target;
+                "crash_suspected"
+            );
+            if suspicion.is_told() {
+                rt::spawn(suspects::tell(self.store.clone(), suspicion));
+            }
+        }
+    }
+
     fn with_budget<T>(
         &self,
         service: &ServiceId,
--- a/crates/edge/src/http/error.rs
+++ b/crates/edge/src/http/error.rs
@@ -53,6 +53,12 @@
         )
     }
 
+    /// Whether nothing listens at the target any more.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// A short name for logs and metrics.
     #[must_use]
     pub fn name(&self) -> &'static str {
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -69,17 +69,28 @@
 pub(crate) struct FailedAttempt {
     pub end: AttemptEnd,
     pub cause: &'static str,
+    /// Whether the target broke off, as it does when it crashes.
+    pub is_broken: bool,
     pub answer: Option<WholeAnswer>,
 }
 
 impl FailedAttempt {
-    fn new(end: AttemptEnd, cause: &'static str) -> Self {
+    pub(crate) fn new(end: AttemptEnd, cause: &'static str) -> Self {
         Self {
             end,
             cause,
+            is_broken: false,
             answer: None,
         }
     }
+
+    /// The target broke off after the request was sent.
+    pub(crate) fn broken(cause: &'static str) -> Self {
+        Self {
+            is_broken: true,
+            ..Self::new(AttemptEnd::Unknown, cause)
+        }
+    }
 }
 
 /// Sends the request. `last_event` is the event after which a stream goes on.
@@ -98,10 +109,14 @@
         edge.metrics.load_age(age);
     }
     log_sent(job, choice, &target_id, last_event);
+    job.sent_at.set(edge.now());
     let connection = match connect(job, choice.target, address).await {
         Ok(connection) => connection,
         Err(error) => {
             edge.target_unreachable(choice.target, error.name());
+            if error.is_refused() {
+                edge.target_crashed(choice.target);
+            }
             return Err(FailedAttempt::new(AttemptEnd::NotSent, error.name()));
         }
     };
@@ -255,7 +270,7 @@
         return FailedAttempt::new(AttemptEnd::NotSent, error.name());
     }
     edge.target_answered(target, true);
-    FailedAttempt::new(AttemptEnd::Unknown, error.name())
+    FailedAttempt::broken(error.name())
 }
 
 fn request_head(
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -1,5 +1,6 @@
 //! One request and what was done for it so far.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,11 +9,14 @@
 use bytes::Bytes;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::{Claim, Refusal};
-use lapismoor_core::ids::{ConfigVersion, ServiceId, TargetKey, WorkspaceId};
+use lapismoor_core::ids::{
+    ConfigVersion, Fingerprint, ServiceId, TargetKey, WorkspaceId, hash_parts,
+};
 use lapismoor_core::retry::{AttemptEnd, NextStep, Progress};
 use lapismoor_core::routing::{Choice, Demand, NoTarget, Preference, Route};
 use opentelemetry::trace::SpanKind;
 
+use super::attempt::FailedAttempt;
 use super::order::Order;
 use super::request_hash;
 use crate::context::Edge;
@@ -66,6 +70,10 @@
     /// Whether the last attempt ended with a failure of the target's own.
     pub may_repeat_target: bool,
     pub progress: Progress,
+    /// Hash of workspace, method, path and body.
+    pub fingerprint: Fingerprint,
+    /// When the last attempt was sent.
+    pub sent_at: Cell<Moment>,
     /// Whether part of an answer was passed on.
     pub is_delivering: bool,
     /// How long it waited before it could be sent.
@@ -78,8 +86,9 @@
 
 impl Job {
     pub(crate) fn new(edge: Rc<Edge>, guard: CallerGuard, order: Order) -> Self {
-        let route = order.route;
+        let route = Rc::clone(&order.route);
         let deadline = order.envelope.deadline.unwrap_or(route.timeout);
+        let fingerprint = fingerprint(&order);
         edge.count_request(&order.service);
         Self {
             config_version: order.config_version,
@@ -92,6 +101,8 @@
             tried: Vec::new(),
             may_repeat_target: false,
             progress: Progress::default(),
+            fingerprint,
+            sent_at: Cell::new(order.received),
             is_delivering: false,
             waited: Duration::ZERO,
             permit: None,
@@ -107,6 +118,12 @@
         }
     }
 
+    /// How long the request is refused because it crashed targets.
+    pub(crate) fn ban(&self) -> Option<Duration> {
+        let now = self.edge.now();
+        self.edge.state.borrow().suspects.ban(now, self.fingerprint)
+    }
+
     /// Waits until the request may be in flight.
     pub(crate) async fn enter(&mut self) -> Result<(), Refusal> {
         let edge = Rc::clone(&self.edge);
@@ -150,7 +167,13 @@
     }
 
     /// Decides what follows the end of an attempt.
-    pub(crate) fn after(&mut self, target: TargetKey, end: &AttemptEnd) -> NextStep {
+    pub(crate) fn after(&mut self, target: TargetKey, failed: &FailedAttempt) -> NextStep {
+        let end = &failed.end;
+        if failed.is_broken {
+            let now = self.edge.now();
+            let suspects = &mut self.edge.state.borrow_mut().suspects;
+            suspects.broke_off(now, self.fingerprint, target, self.sent_at.get());
+        }
         self.progress.note(end);
         self.tried.push(target);
         self.may_repeat_target = *end == AttemptEnd::Failed;
@@ -173,6 +196,15 @@
     }
 }
 
+fn fingerprint(order: &Order) -> Fingerprint {
+    hash_parts(&[
+        order.claim.workspace.as_bytes(),
+        order.method.as_str().as_bytes(),
+        order.uri.path().as_bytes(),
+        &order.body,
+    ])
+}
+
 /// A caller that sent a trace asked for spans; of the others a sample has them.
 fn begin_hop(edge: &Edge, envelope: &Envelope, service: &ServiceId) -> Option<Hop> {
     let spans = edge.spans.as_ref()?;
--- a/crates/edge/src/serve/relay.rs
+++ b/crates/edge/src/serve/relay.rs
@@ -12,6 +12,9 @@
 use super::job::Job;
 use super::report;
 
+/// Cause of a stream whose target sent nothing for too long.
+const TARGET_SILENT: &str = "target_silent";
+
 /// A stream between a target and a caller.
 pub(crate) struct Relay {
     job: Job,
@@ -83,7 +86,7 @@
                 Err(_) => {
                     let edge = &self.job.edge;
                     edge.target_unreachable(self.answer.target, "silent");
-                    return Err("target_silent");
+                    return Err(TARGET_SILENT);
                 }
                 Ok(Err(error)) => return Err(error.name()),
                 Ok(Ok(None)) if self.splitter.holds_part() => return Err("event_cut_off"),
@@ -115,13 +118,13 @@
 
     async fn resume(&mut self, cause: &'static str) -> Result<(), &'static str> {
         self.splitter.drop_part();
-        let mut failed = FailedAttempt {
-            end: AttemptEnd::Unknown,
-            cause,
-            answer: None,
+        let mut failed = if cause == TARGET_SILENT {
+            FailedAttempt::new(AttemptEnd::Unknown, cause)
+        } else {
+            FailedAttempt::broken(cause)
         };
         loop {
-            let step = self.job.after(self.choice.target, &failed.end);
+            let step = self.job.after(self.choice.target, &failed);
             report::attempt_failed(&self.job, &self.choice, &failed, &step);
             if step != NextStep::Retry {
                 return Err(cause);
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -50,6 +50,7 @@
     let edge = &job.edge;
     let took = edge.now().saturating_sub(job.received);
     edge.metrics.served(took);
+    edge.state.borrow_mut().suspects.served(job.fingerprint);
     if !job.is_logged() {
         return;
     }
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -1,7 +1,7 @@
 //! Runs one request to its end: sends it, judges what comes, sends it again where that is right.
 
 use lapismoor_core::admission::Refusal;
-use lapismoor_core::retry::{AttemptEnd, NextStep};
+use lapismoor_core::retry::NextStep;
 use lapismoor_core::routing::NoTarget;
 
 use actix_http::ResponseHead;
@@ -35,6 +35,9 @@
 
 /// Runs a request.
 pub(crate) async fn run(mut job: Job) -> Ending {
+    if let Some(banned_for) = job.ban() {
+        return refuse(&job, Refusal::CrashesTargets { banned_for });
+    }
     if let Err(refusal) = job.enter().await {
         return refuse(&job, refusal);
     }
@@ -55,7 +58,7 @@
             },
             Err(failed) => failed,
         };
-        let step = job.after(choice.target, &failed.end);
+        let step = job.after(choice.target, &failed);
         report::attempt_failed(&job, &choice, &failed, &step);
         last_failure = failed.answer.or(last_failure);
         match step {
@@ -78,11 +81,7 @@
         }
         Err(error) => {
             job.edge.target_answered(answer.target, true);
-            Err(FailedAttempt {
-                end: AttemptEnd::Unknown,
-                cause: error.name(),
-                answer: None,
-            })
+            Err(FailedAttempt::broken(error.name()))
         }
     }
 }
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -26,6 +26,7 @@
                 log::warn!(target:% = id, reason:%; "target_entry_unreadable");
             }
         }
+        Fact::Suspicion(suspicion) => edge.state.borrow_mut().suspects.learn(now, &suspicion),
         Fact::Daemon(record) => apply_daemon(edge, record),
         Fact::DaemonGone { id } => {
             log::info!(peer:% = id; "daemon_gone");
@@ -36,10 +37,13 @@
         }
         Fact::TargetGone { id } => {
             let mut state = edge.state.borrow_mut();
-            if let Some(target) = state.directory.remove(now, &id) {
-                let standing = target.standing;
-                log::info!(target:% = id, standing:? = standing; "target_gone");
-            }
+            let Some(target) = state.directory.remove(now, &id) else {
+                return;
+            };
+            let (key, standing) = (target.key, target.standing);
+            log::info!(target:% = id, standing:? = standing; "target_gone");
+            drop(state);
+            edge.target_crashed(key);
         }
     }
 }
@@ -77,11 +81,18 @@
 fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry) {
     let mut state = edge.state.borrow_mut();
     let id = entry.id.clone();
+    let before = state.directory.find(&id).map(|target| target.key);
     let change = state.directory.apply(now, entry);
     if change == DirectoryChange::Same {
         return;
     }
+    drop(state);
     log::info!(target:% = id, change:?; "target_listed");
+    if change == DirectoryChange::Restarted
+        && let Some(former) = before
+    {
+        edge.target_crashed(former);
+    }
 }
 
 fn apply_daemon(edge: &Edge, record: DaemonRecord) {
--- a/crates/edge/src/store/fact.rs
+++ b/crates/edge/src/store/fact.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use lapismoor_core::admission::Suspicion;
 use lapismoor_core::config::Accepted;
 use lapismoor_core::ids::{DaemonId, TargetId};
 use lapismoor_core::membership::{DaemonRecord, TargetEntry};
@@ -31,6 +32,8 @@
         /// Field and problem.
         reason: CompactString,
     },
+    /// A request is suspected of crashes.
+    Suspicion(Suspicion),
     /// A daemon announced itself.
     Daemon(DaemonRecord),
     /// A daemon's announcement ended.
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -6,6 +6,7 @@
 mod fact;
 mod follow;
 mod question;
+pub(crate) mod suspects;
 mod telling;
 
 pub(crate) use announce::announce;
--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use demo::caller::Balancer;
+use demo::caller::{Balancer, Manners};
 use demo::fleet::{Fleet, FleetSize};
 use demo::load::{Load, LoadPlan};
 use lapismoor_core::config::Config;
@@ -22,6 +22,12 @@
 const CHATS_PER_DAEMON: usize = 20;
 const CALLS_PER_DAEMON: usize = 10;
 
+/// Callers wait a little longer than the longest deadline, 30 s, of the profiles they use.
+const MANNERS: Manners = Manners {
+    keeps_connections: true,
+    patience: Duration::from_secs(33),
+};
+
 /// Numbers of processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Size {
@@ -167,7 +173,7 @@
         billed_path: format!("{}/billed/postcode", size.service_pool),
         tokens: size.tokens,
         seed,
-        keeps_connections: true,
+        manners: MANNERS,
     }
 }
 
