--- a/crates/caller/src/errors.rs
+++ b/crates/caller/src/errors.rs
@@ -100,6 +100,7 @@
 pub(crate) fn refused(status: StatusCode, message: &str, request_id: &str) -> Refusal {
     let mut failure = Failure::not_run(NotRunProof::NeverAccepted, FailureKind::Invalid, None);
     failure.message = message.into();
+    log::warn!(request = request_id, reason = message, status = status.as_u16(); "refused");
     with_status(status, &failure, request_id).into()
 }
 
--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -47,6 +47,7 @@
         .level(log::LevelFilter::Warn)
         .level_for("lapismoor_edge", level)
         .level_for("lapismoor_adapter", level)
+        .level_for("lapismoor_caller", level)
         .level_for("lapismoord", level)
         .chain(fern::Output::call(move |record| {
             queue.push(line(&daemon, record));
--- a/crates/edge/src/story/cause.rs
+++ b/crates/edge/src/story/cause.rs
@@ -18,7 +18,7 @@
 }
 
 /// Name, meaning and remedy of each cause.
-const CAUSES: [(&str, &str, &str); 25] = [
+const CAUSES: [(&str, &str, &str); 27] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -59,6 +59,16 @@
         "it would have waited for longer than its aim allows",
         "look at the load of the service and the number of its targets",
     ),
+    (
+        "workspace_limit",
+        "the workspace sent more than its limits allow",
+        "look at its requests_per_second and concurrent_requests",
+    ),
+    (
+        "crashes_targets",
+        "the request crashed three targets or more, one after the other",
+        "look for crash_suspected, and at the request",
+    ),
     (
         "stopping",
         "the daemon was about to stop; the caller was sent elsewhere",
--- a/crates/edge/src/story/line.rs
+++ b/crates/edge/src/story/line.rs
@@ -31,6 +31,17 @@
 }
 
 impl LogLine {
+    /// Whether the line is about a request. Requests of profiles are logged under trace and span, and
+    /// callers know the trace.
+    #[must_use]
+    pub fn is_about(&self, request: &str) -> bool {
+        let Some(known) = self.text("request") else {
+            return false;
+        };
+        let span = known.strip_prefix(request);
+        span.is_some_and(|span| span.is_empty() || span.starts_with('-'))
+    }
+
     /// Reads a line; what stands before the first brace is skipped. None if it is no line of a
     /// daemon.
     #[must_use]
--- a/crates/edge/src/story/mod.rs
+++ b/crates/edge/src/story/mod.rs
@@ -32,7 +32,7 @@
     pub fn of(request: &str, lines: &[LogLine]) -> Option<Self> {
         let mut steps: Vec<LogLine> = lines
             .iter()
-            .filter(|line| line.text("request") == Some(request))
+            .filter(|line| line.is_about(request))
             .cloned()
             .collect();
         steps.sort_by_key(|line| line.time_ms);
