Tell a daemon that was started again from the one that a fault stopped

Change: a fault ends on the process that it began with; a daemon that outlasts its grace fails the run.

--- a/crates/soak/src/processes/player.rs
+++ b/crates/soak/src/processes/player.rs
@@ -1,7 +1,7 @@
 //! Plays the faults of a plan on a fleet.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use demo::fleet::{Fleet, set_faults};
 use lapismoor_adapter_standin::Faults;
@@ -11,6 +11,8 @@
 use super::plan::{Fault, Step};
 use super::proxy::{Mode, Proxies};
 
+/// Time that a daemon may take to stop: `limits.stop_grace_ms` of its settings, 30 s, and some.
+const STOP_GRACE: Duration = Duration::from_secs(35);
 /// Time that a slow store or way adds.
 const SLOW: Duration = Duration::from_millis(300);
 
@@ -19,6 +21,8 @@
 pub(super) struct Ending {
     pub at: Duration,
     pub fault: Fault,
+    /// Process of the daemon that the fault is about; a later fault may have replaced it meanwhile.
+    process: Option<u32>,
 }
 
 /// Begins a fault; returns when its end is due, if it has one.
@@ -28,6 +32,7 @@
     config: &Config,
     step: &Step,
 ) -> io::Result<Option<Ending>> {
+    let process = daemon_of(step.fault).map(|daemon| fleet.daemons[daemon].process.id());
     match step.fault {
         Fault::KillDaemon(daemon) => fleet.daemons[daemon].process.kill(),
         Fault::StopDaemon { daemon, twice } => {
@@ -86,20 +91,28 @@
     Ok(Some(Ending {
         at: step.at + step.lasts,
         fault: step.fault,
+        process,
     }))
 }
 
-/// Ends a fault.
-pub(super) async fn end(fleet: &mut Fleet, proxies: &Proxies, fault: Fault) -> io::Result<()> {
+fn daemon_of(fault: Fault) -> Option<usize> {
     match fault {
+        Fault::KillDaemon(daemon) | Fault::StopDaemon { daemon, .. } => Some(daemon),
+        _ => None,
+    }
+}
+
+/// Ends a fault.
+///
+/// # Errors
+/// When a process cannot be started, or a daemon does not stop within its grace.
+pub(super) async fn end(fleet: &mut Fleet, proxies: &Proxies, ending: &Ending) -> io::Result<()> {
+    match ending.fault {
         Fault::KillDaemon(daemon) | Fault::StopDaemon { daemon, .. } => {
-            let process = &mut fleet.daemons[daemon].process;
-            // A daemon that was suspended meanwhile cannot end; one that is stopping gets its time.
-            process.signal(Signal::SIGCONT);
-            while !process.has_ended() {
-                tokio::time::sleep(Duration::from_millis(20)).await;
+            if Some(fleet.daemons[daemon].process.id()) == ending.process {
+                wait_for_end(fleet, daemon).await?;
+                fleet.restart_daemon(daemon)?;
             }
-            fleet.restart_daemon(daemon)?;
         }
         Fault::PauseDaemon(daemon) => fleet.daemons[daemon].process.signal(Signal::SIGCONT),
         Fault::PauseEngine(engine) => fleet.engines[engine].process.signal(Signal::SIGCONT),
@@ -127,6 +140,21 @@
     Ok(())
 }
 
+/// A daemon that was suspended meanwhile cannot end; one that is stopping gets its grace.
+async fn wait_for_end(fleet: &mut Fleet, daemon: usize) -> io::Result<()> {
+    let process = &mut fleet.daemons[daemon].process;
+    process.signal(Signal::SIGCONT);
+    let until = Instant::now() + STOP_GRACE;
+    while !process.has_ended() {
+        if Instant::now() > until {
+            let name = &fleet.daemons[daemon].name;
+            return Err(io::Error::other(format!("{name} does not stop")));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
 /// Ends what a later fault on the same process may have left behind.
 pub(super) async fn heal(fleet: &mut Fleet, proxies: &Proxies) -> io::Result<()> {
     for way in 0..proxies.len() {
--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -107,7 +107,7 @@
             .extract_if(.., |ending| ending.at <= now)
             .collect::<Vec<_>>()
         {
-            player::end(fleet, proxies, ending.fault).await?;
+            player::end(fleet, proxies, &ending).await?;
         }
         tokio::time::sleep(LOOK).await;
     }
