Prove further homes by their reason; hold a workspace's place in one small stream

Taken out, further homes of a popular part were not missed by their test: what spills over covered for them. The test asks for the reason now, and builds a directory for each daemon.

--- a/crates/core/tests/placement_by_parts.rs
+++ b/crates/core/tests/placement_by_parts.rs
@@ -69,13 +69,12 @@
 /// Returning chats about 36 subjects through daemons of three failure domains.
 #[test]
 fn all_daemons_send_a_subject_to_the_same_home() {
-    let directory = directory(9);
-    let mut daemons = ["east", "west", "north"].map(chooser);
+    let mut daemons = ["east", "west", "north"].map(|domain| (chooser(domain), directory(9)));
     for subject in 0..36 {
-        let homes = daemons.each_mut().map(|daemon| {
+        let homes = daemons.each_mut().map(|(daemon, directory)| {
             let parts = prompt(1, 100 + subject, 1_000 + subject);
-            let choice = choose(daemon, &directory, at(subject), &parts).expect("targets");
-            id_of(&directory, &choice)
+            let choice = choose(daemon, directory, at(subject), &parts).expect("targets");
+            id_of(directory, &choice)
         });
         assert_eq!(homes[0], homes[1]);
         assert_eq!(homes[0], homes[2]);
@@ -109,6 +108,7 @@
     let mut directory = directory(9);
     let mut daemon = chooser("east");
     let mut used = Vec::new();
+    let mut further = 0;
     let first = choose(&mut daemon, &directory, at(0), &prompt(9, 1, 0)).expect("targets");
     for number in 0..200_u64 {
         let subject = if number % 2 == 0 { 1 } else { 100 + number };
@@ -118,6 +118,7 @@
         target.load.sent();
         let is_kept = number >= 100;
         if subject == 1 && is_kept {
+            further += usize::from(choice.reason == Reason::FurtherHome);
             used.push(choice.target);
             let is_first = choice.target == first.target;
             assert!(is_first || choice.fetch_from == Some(first.target));
@@ -130,6 +131,8 @@
                 .ended();
         }
     }
+    // Homes that all daemons work out alike take the load, not whatever is free at each.
+    assert!(further * 2 >= used.len(), "{further} of {}", used.len());
     used.sort_unstable();
     used.dedup();
     assert!(
--- a/crates/edge/src/profiles/gateway.rs
+++ b/crates/edge/src/profiles/gateway.rs
@@ -9,9 +9,10 @@
 use lapismoor_core::ids::WorkspaceId;
 use lapismoor_core::request::{Identity, Request};
 
-use super::{once, order, outcome};
+use super::order::{self, WorkspacePlace};
+use super::{once, outcome};
 use crate::context::Edge;
-use crate::serve::{CallerGuard, Ending, Job, report_refused, run};
+use crate::serve::{CallerGuard, Job, report_refused, run};
 
 /// The daemon behind the handlers.
 pub(crate) fn gateway(edge: &Rc<Edge>) -> Gateway {
@@ -90,18 +91,18 @@
             return one(CallerAnswer::Fail(failure));
         }
     };
-    let ending: Ending = run(Job::new(edge, guard, order)).await;
-    let answers = outcome::answers(ending);
-    // The workspace counts the request until its answer was passed on.
-    answers
-        .chain(
-            stream::once(async move {
-                drop(workspace);
-                None
-            })
-            .filter_map(|none: Option<CallerAnswer>| async { none }),
-        )
-        .boxed_local()
+    let ending = run(Job::new(edge, guard, order)).await;
+    holding(workspace, outcome::answers(ending))
+}
+
+/// Keeps a place until the answers were passed on, or their caller left.
+fn holding(place: WorkspacePlace, answers: Answers) -> Answers {
+    let state = (place, answers);
+    let held = stream::unfold(state, |(place, mut answers)| async move {
+        let next = answers.next().await?;
+        Some((next, (place, answers)))
+    });
+    held.boxed_local()
 }
 
 /// One final answer.
