--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -33,12 +33,8 @@
 pub type ChatKey = u64;
 /// Hash of workspace and request body.
 pub type Fingerprint = u64;
-/// Fencing number of a pool's leadership; grows by one with each leader.
-pub type Term = u64;
 /// Number of a configuration; grows by one with each accepted change.
 pub type ConfigRevision = u64;
-/// Number of one caller's connection to one daemon; never reused by an incarnation.
-pub type CallerId = u64;
 
 key! {
     /// Identifies a request in the fleet. Given to a caller ahead of the call it is a ticket.
@@ -50,14 +46,6 @@
         /// Counts the requests of that incarnation.
         pub sequence: u64,
     }
-
-    /// Identifies one attempt to run a request on a target.
-    pub struct AttemptId {
-        /// The request.
-        pub request: RequestId,
-        /// Counts the attempts of the request, from 1.
-        pub number: u32,
-    }
 }
 
 /// A text that is not an id.
@@ -91,12 +79,6 @@
     }
 }
 
-impl fmt::Display for AttemptId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}-{}", self.request, self.number)
-    }
-}
-
 /// Hashes a workspace and its chat id.
 #[must_use]
 pub fn chat_key(workspace: &str, chat: &str) -> ChatKey {
