--- a/crates/caller/src/errors.rs
+++ b/crates/caller/src/errors.rs
@@ -44,8 +44,7 @@
         | FailureKind::NoTarget
         | FailureKind::Stopping
         | FailureKind::NotReady
-        | FailureKind::StoreUnavailable
-        | FailureKind::Cancelled => StatusCode::SERVICE_UNAVAILABLE,
+        | FailureKind::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -47,6 +47,11 @@
             /// When to come back.
             come_back: Duration,
         },
+        /// As many wait as may, and none of them is less urgent.
+        QueueFull {
+            /// When to come back.
+            come_back: Duration,
+        },
     }
 
     /// What decides the turn of a request.
@@ -118,12 +123,14 @@
             return Entry::Enter;
         }
         if self.wait_behind(ahead, limits.for_rank(claim.rank)) > patience {
-            return self.refuse(limits);
+            let come_back = self.come_back(limits);
+            return Entry::Refuse { come_back };
         }
         let mut evicted = None;
         if self.waiting.len() >= limits.waiting {
             let Some(less_urgent) = self.waiting.evict_below(claim.rank) else {
-                return self.refuse(limits);
+                let come_back = self.come_back(limits);
+                return Entry::QueueFull { come_back };
             };
             evicted = Some(less_urgent.item);
         }
@@ -173,11 +180,9 @@
         self.waiting.len()
     }
 
-    fn refuse(&self, limits: &GateLimits) -> Entry {
+    fn come_back(&self, limits: &GateLimits) -> Duration {
         let all = self.wait_behind(self.waiting.len(), limits.in_flight);
-        Entry::Refuse {
-            come_back: all.clamp(SOONEST_RETURN, LATEST_RETURN),
-        }
+        all.clamp(SOONEST_RETURN, LATEST_RETURN)
     }
 
     /// Expected wait of a request with `ahead` others before it.
--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -29,6 +29,11 @@
             /// When to come back.
             come_back: Duration,
         },
+        /// The queue is full of requests at least as urgent.
+        QueueFull {
+            /// When to come back.
+            come_back: Duration,
+        },
         /// The workspace is at its limit.
         WorkspaceLimit {
             /// When to come back.
@@ -57,6 +62,7 @@
             Self::Unreachable => "unreachable",
             Self::Busy => "busy",
             Self::Full { .. } => "full",
+            Self::QueueFull { .. } => "queue_full",
             Self::WorkspaceLimit { .. } => "workspace_limit",
             Self::CrashesTargets { .. } => "crashes_targets",
             Self::Stopping => "stopping",
@@ -79,7 +85,9 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoRoute | Self::UnknownKey => None,
-            Self::Full { come_back } | Self::WorkspaceLimit { come_back } => Some(*come_back),
+            Self::Full { come_back }
+            | Self::QueueFull { come_back }
+            | Self::WorkspaceLimit { come_back } => Some(*come_back),
             Self::CrashesTargets { banned_for } => Some(*banned_for),
             Self::Stopping => Some(Duration::ZERO),
             Self::Busy | Self::Unreachable | Self::StaleConfiguration => Some(SOON),
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -55,8 +55,6 @@
         OwnerGone,
         /// The ticket is unknown, or belongs to another workspace.
         UnknownTicket,
-        /// The caller went away.
-        Cancelled,
     }
 }
 
@@ -126,7 +124,6 @@
             }
             Self::OwnerGone => "the daemon that owned the ticket is gone; check the call's effect",
             Self::UnknownTicket => "the ticket is unknown or expired; get a new one",
-            Self::Cancelled => "the caller cancelled the request",
         }
     }
 }
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -152,7 +152,7 @@
 fn a_full_queue_gives_up_its_least_urgent_request_for_a_more_urgent_one() {
     let (mut gate, tickets) = full_gate(3, BACKGROUND);
     let same = gate.arrive(ms(1), &ONE, &claim(BACKGROUND, "b"), ms(60_000));
-    assert!(matches!(same, Entry::Refuse { .. }));
+    assert!(matches!(same, Entry::QueueFull { .. }));
     let urgent = gate.arrive(ms(1), &ONE, &claim(URGENT, "b"), ms(60_000));
     let Entry::Wait { evicted, .. } = urgent else {
         panic!("it waits");
--- a/crates/core/tests/plain_surge.rs
+++ b/crates/core/tests/plain_surge.rs
@@ -81,6 +81,7 @@
                 assert!(come_back >= Duration::from_millis(250));
                 outcome.refused += 1;
             }
+            Entry::QueueFull { .. } => panic!("the queue has no limit"),
         }
         outcome.most_in_flight = outcome.most_in_flight.max(gate.in_flight());
     }
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -132,6 +132,7 @@
         let ticket = match entry {
             Entry::Enter => return Ok(self.permit(service)),
             Entry::Refuse { come_back } => return Err(Refusal::Full { come_back }),
+            Entry::QueueFull { come_back } => return Err(Refusal::QueueFull { come_back }),
             Entry::Wait { ticket, .. } => ticket,
         };
         let mut waiting = Waiting {
--- a/crates/edge/src/profiles/outcome.rs
+++ b/crates/edge/src/profiles/outcome.rs
@@ -52,6 +52,7 @@
             NotRunProof::NeverDispatched,
             FailureKind::DeadlineUnmeetable,
         ),
+        Refusal::QueueFull { .. } => (NotRunProof::NeverDispatched, FailureKind::QueueFull),
         Refusal::WorkspaceLimit { .. } => {
             (NotRunProof::NeverDispatched, FailureKind::WorkspaceLimit)
         }
--- a/crates/edge/src/story/cause.rs
+++ b/crates/edge/src/story/cause.rs
@@ -18,7 +18,7 @@
 }
 
 /// Name, meaning and remedy of each cause.
-const CAUSES: [(&str, &str, &str); 28] = [
+const CAUSES: [(&str, &str, &str); 29] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -59,6 +59,11 @@
         "it would have waited for longer than its aim allows",
         "look at the load of the service and the number of its targets",
     ),
+    (
+        "queue_full",
+        "as many requests waited as the pool's queue_limit allows, none of them less urgent",
+        "look at the load of the service and the number of its targets",
+    ),
     (
         "workspace_limit",
         "the workspace sent more than its limits allow",
--- a/crates/soak/src/compare/ours.rs
+++ b/crates/soak/src/compare/ours.rs
@@ -152,7 +152,7 @@
                 daemon.waiting.push((ticket, request.clone()));
                 Placed::Waits
             }
-            Entry::Refuse { .. } => {
+            Entry::Refuse { .. } | Entry::QueueFull { .. } => {
                 self.refused += 1;
                 Placed::Waits
             }
