Name the daemons that were killed when a request has no line

Change: explain lists the daemons that started again without having told that they stopped, each between its last line and its start. Conclusion: a request without a line is either told by that list or had not reached a daemon.

--- a/crates/edge/src/story/mod.rs
+++ b/crates/edge/src/story/mod.rs
@@ -1,12 +1,14 @@
 //! Tells from the logs of all daemons what became of one request, and why.
 
 mod cause;
+mod kill;
 mod line;
 
 use compact_str::CompactString;
 use serde::Serialize;
 
 pub use cause::{Cause, explain};
+pub use kill::Kill;
 pub use line::LogLine;
 
 /// How long before the end of a request a belief may have mattered to it, in milliseconds.
--- a/crates/edge/tests/story.rs
+++ b/crates/edge/tests/story.rs
@@ -1,6 +1,6 @@
 //! From the id of a failed request to its cause.
 
-use lapismoor_edge::story::{LogLine, Story};
+use lapismoor_edge::story::{Kill, LogLine, Story};
 use test_case::test_case;
 
 const LINES: &str = r#"
@@ -65,3 +65,24 @@
 fn a_request_without_lines_has_no_story() {
     assert_eq!(story("r-unknown"), None);
 }
+
+#[test]
+fn a_daemon_that_starts_again_without_having_stopped_was_killed() {
+    let lines: Vec<LogLine> = [
+        r#"{"daemon":"edge-1","event":"started","time_ms":1000}"#,
+        r#"{"daemon":"edge-2","event":"started","time_ms":1000}"#,
+        r#"{"daemon":"edge-1","event":"served","request":"r-1","time_ms":5000}"#,
+        r#"{"daemon":"edge-1","event":"started","time_ms":7000}"#,
+        r#"{"daemon":"edge-2","event":"stopped","time_ms":8000}"#,
+        r#"{"daemon":"edge-2","event":"started","time_ms":9000}"#,
+    ]
+    .iter()
+    .filter_map(|line| LogLine::parse(line))
+    .collect();
+    let expected = [Kill {
+        daemon: "edge-1".into(),
+        last_line_ms: 5000,
+        started_ms: 7000,
+    }];
+    assert_eq!(Kill::all(&lines), expected);
+}
--- a/crates/lapismoorctl/src/error.rs
+++ b/crates/lapismoorctl/src/error.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use lapismoor_core::config::ConfigError;
+use lapismoor_edge::story::Kill;
 use snafu::Snafu;
 
 /// Why the command failed.
@@ -33,9 +34,10 @@
         source: lapismoor_adapter::DocumentError,
     },
     #[snafu(display(
-        "no line is about request {request}; pass the logs of all daemons of that time"
+        "no line is about request {request}; pass the logs of all daemons of that time{}",
+        listed(kills)
     ))]
-    NoLine { request: String },
+    NoLine { request: String, kills: Vec<Kill> },
     #[snafu(display("{daemon} does not tell its status: {reason}; check address and daemon"))]
     NoStatus {
         daemon: std::net::SocketAddr,
@@ -70,3 +72,15 @@
         }
     }
 }
+
+/// Daemons at which a request may have ended without a line.
+fn listed(kills: &[Kill]) -> String {
+    if kills.is_empty() {
+        return String::new();
+    }
+    let lines: Vec<String> = kills.iter().map(ToString::to_string).collect();
+    format!(
+        "; if it was sent to one of these, the daemon's end cut it off:\n  {}",
+        lines.join("\n  ")
+    )
+}
