Write a burst of log lines in parts that a pipe takes whole

Cause: a request that a crash cut off had no line. The lines of a moment went out in one write of up to 32 KB; of such a write the users' platform keeps 8 KB, so that a line was torn and those behind it were lost without being counted. Change: whole lines, at most PIPE_BUF (4,096 bytes) in a write; an output that fails counts all lines of the write, and a telling that fails is told later.

--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -12,8 +12,8 @@
 
 /// Lines that wait to be written at most; about a second of the heaviest logging.
 const QUEUE_LINES: usize = 2_048;
-/// Bytes written at once at most.
-const BATCH_BYTES: usize = 32 * 1024;
+/// Bytes written at once at most, but for a longer line: `PIPE_BUF` of Linux, what a pipe takes whole.
+const BATCH_BYTES: usize = 4_096;
 
 /// Why logging did not start.
 #[derive(Debug, snafu::Snafu)]
@@ -86,23 +86,39 @@
 }
 
 fn write_lines(waiting: &Receiver<String>, dropped: &AtomicU64, mut output: impl Write) {
-    while let Ok(first) = waiting.recv() {
-        let mut batch = first;
-        while batch.len() < BATCH_BYTES {
-            match waiting.try_recv() {
-                Ok(line) => batch.push_str(&line),
-                Err(_) => break,
-            }
-        }
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            batch.push_str(&dropped_line(lost));
-        }
-        // Nothing can be told about an output that does not take the telling.
+    let mut left_over = None;
+    while let Some(first) = left_over.take().or_else(|| waiting.recv().ok()) {
+        let (batch, next) = batch(first, waiting);
+        left_over = next;
         if output.write_all(batch.as_bytes()).is_err() {
-            dropped.fetch_add(1, Ordering::Relaxed);
+            dropped.fetch_add(count_lines(&batch), Ordering::Relaxed);
+        }
+        tell_dropped(dropped, &mut output);
+    }
+}
+
+/// Nothing can be told about an output that does not take the telling; it is told later.
+fn tell_dropped(dropped: &AtomicU64, output: &mut impl Write) {
+    let lost = dropped.swap(0, Ordering::Relaxed);
+    if lost > 0 && output.write_all(dropped_line(lost).as_bytes()).is_err() {
+        dropped.fetch_add(lost, Ordering::Relaxed);
+    }
+}
+
+fn count_lines(batch: &str) -> u64 {
+    u64::try_from(batch.lines().count()).unwrap_or(u64::MAX)
+}
+
+/// Lines that wait, as many as one write takes; and the first that did not fit.
+fn batch(first: String, waiting: &Receiver<String>) -> (String, Option<String>) {
+    let mut batch = first;
+    while let Ok(line) = waiting.try_recv() {
+        if batch.len() + line.len() > BATCH_BYTES {
+            return (batch, Some(line));
         }
+        batch.push_str(&line);
     }
+    (batch, None)
 }
 
 fn dropped_line(count: u64) -> String {
