Log each crash that is not counted, and explain refusals by the content of a request

Cause: a crash that the suspects table ignored left no line, and the refusal of a crashing request named neither its content nor what other daemons had decided, so the logs could not tell the hypotheses apart.

Change: crash_not_counted names the target and the time to its detection; attempt_failed, refused_as_suspect and crash_suspected carry the fingerprint; explain includes what all daemons decided about it.

--- a/crates/core/src/admission/suspects.rs
+++ b/crates/core/src/admission/suspects.rs
@@ -43,6 +43,16 @@
         pub crashes: u32,
     }
 
+    /// A crash that was not counted for a request whose attempt it interrupted.
+    pub struct UncountedCrash {
+        /// Fingerprint of the request.
+        pub fingerprint: Fingerprint,
+        /// Target that crashed.
+        pub target: TargetKey,
+        /// Time from the interruption to the detection of the crash.
+        pub detected_after: Duration,
+    }
+
     struct SuspectRecord {
         suspicion: Suspicion,
         /// When the last counted attempt was interrupted.
@@ -64,9 +74,11 @@
 #[derive(Debug, Clone, Default)]
 pub struct Suspects {
     /// Invariant: sorted by fingerprint; at most [`MAX_RECORDS`].
-    suspects: Vec<SuspectRecord>,
+    counted: Vec<SuspectRecord>,
     /// Invariant: in order of time; at most [`MAX_RECORDS`].
     interrupted: Vec<InterruptedAttempt>,
+    /// Invariant: at most [`MAX_RECORDS`].
+    uncounted: Vec<UncountedCrash>,
 }
 
 impl Suspects {
@@ -101,11 +113,25 @@
             self.interrupted.extract_if(.., matches_target).collect();
         let mut increased = Vec::new();
         for attempt in attempts {
-            increased.extend(self.count_crash(now, &attempt));
+            let counted = self.count_crash(now, &attempt);
+            if counted.is_none() && self.uncounted.len() < MAX_RECORDS {
+                self.uncounted.push(UncountedCrash {
+                    fingerprint: attempt.fingerprint,
+                    target,
+                    detected_after: now.saturating_sub(attempt.interrupted_at),
+                });
+            }
+            increased.extend(counted);
         }
         increased
     }
 
+    /// Returns the crashes since the last call that were not counted, because the attempt was sent
+    /// before the last counted one was interrupted.
+    pub fn take_uncounted(&mut self) -> Vec<UncountedCrash> {
+        std::mem::take(&mut self.uncounted)
+    }
+
     /// Merges a suspicion of another daemon: the greater number of crashes counts.
     pub fn merge(&mut self, now: Moment, remote: &Suspicion) {
         let suspect = self.suspect_mut(remote.fingerprint);
@@ -118,7 +144,7 @@
     /// Clears a request that was answered.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
         if let Ok(position) = self.position(fingerprint) {
-            self.suspects.remove(position);
+            self.counted.remove(position);
         }
         self.interrupted
             .retain(|attempt| attempt.fingerprint != fingerprint);
@@ -128,7 +154,7 @@
     #[must_use]
     pub fn ban(&self, now: Moment, fingerprint: Fingerprint) -> Option<Duration> {
         let position = self.position(fingerprint).ok()?;
-        let suspect = &self.suspects[position];
+        let suspect = &self.counted[position];
         let excess = suspect.suspicion.crashes.checked_sub(CRASHES_ALLOWED)?;
         let excess = usize::try_from(excess).unwrap_or(usize::MAX);
         let ban = BAN_DURATIONS[excess.min(BAN_DURATIONS.len() - 1)];
@@ -149,7 +175,7 @@
     }
 
     fn suspect_mut(&mut self, fingerprint: Fingerprint) -> &mut SuspectRecord {
-        if self.suspects.len() >= MAX_RECORDS {
+        if self.counted.len() >= MAX_RECORDS {
             self.drop_oldest();
         }
         let position = self.position(fingerprint).unwrap_or_else(|position| {
@@ -161,21 +187,21 @@
                 last_interrupted_at: Moment::ZERO,
                 last_crash_at: Moment::ZERO,
             };
-            self.suspects.insert(position, suspect);
+            self.counted.insert(position, suspect);
             position
         });
-        &mut self.suspects[position]
+        &mut self.counted[position]
     }
 
     fn drop_oldest(&mut self) {
-        let last_crash_at = |position: &usize| self.suspects[*position].last_crash_at;
-        if let Some(position) = (0..self.suspects.len()).min_by_key(last_crash_at) {
-            self.suspects.remove(position);
+        let last_crash_at = |position: &usize| self.counted[*position].last_crash_at;
+        if let Some(position) = (0..self.counted.len()).min_by_key(last_crash_at) {
+            self.counted.remove(position);
         }
     }
 
     fn position(&self, fingerprint: Fingerprint) -> Result<usize, usize> {
-        self.suspects
+        self.counted
             .binary_search_by_key(&fingerprint, |suspect| suspect.suspicion.fingerprint)
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -339,12 +339,30 @@
     /// suspected of causing the crash, and repeated suspicions are shared with the fleet.
     pub fn target_crashed(&self, target: TargetKey) {
         let now = self.now();
-        let raised = self.state.borrow_mut().suspects.record_crash(now, target);
+        let target_id = self
+            .address_of(target)
+            .map(|(id, _)| id)
+            .unwrap_or_default();
+        let (raised, uncounted) = {
+            let suspects = &mut self.state.borrow_mut().suspects;
+            (
+                suspects.record_crash(now, target),
+                suspects.take_uncounted(),
+            )
+        };
+        for crash in uncounted {
+            log::warn!(
+                fingerprint:% = format_args!("{:016x}", crash.fingerprint),
+                target:% = target_id,
+                detected_after_ms = millis(crash.detected_after);
+                "crash_not_counted"
+            );
+        }
         for suspicion in raised {
             log::warn!(
                 fingerprint:% = format_args!("{:016x}", suspicion.fingerprint),
                 crashes = suspicion.crashes,
-                target;
+                target:% = target_id;
                 "crash_suspected"
             );
             if suspicion.is_shared() {
--- a/crates/edge/src/history/line.rs
+++ b/crates/edge/src/history/line.rs
@@ -5,11 +5,10 @@
 use serde_json::{Map, Value};
 
 /// Events that may affect every request of a daemon.
-const DAEMON_WIDE_EVENTS: [&str; 11] = [
+const DAEMON_WIDE_EVENTS: [&str; 10] = [
     "configuration_in_force",
     "profiles_in_force",
     "everything_listed",
-    "crash_suspected",
     "configuration_unreadable",
     "started",
     "stopping",
@@ -68,6 +67,13 @@
         self.fields.get(field)?.as_str()
     }
 
+    /// Whether the line is a decision about requests with the same content as that of these steps.
+    pub(super) fn is_about_same_content(&self, steps: &[Self]) -> bool {
+        let fingerprint = self.text("fingerprint");
+        let is_same = |step: &Self| step.text("fingerprint") == fingerprint;
+        fingerprint.is_some() && !self.fields.contains_key("request") && steps.iter().any(is_same)
+    }
+
     /// Whether the line is an event of the daemon that may have affected the request with these
     /// steps: a daemon-wide event, or one of a target that the request used.
     pub(super) fn may_affect(&self, steps: &[Self]) -> bool {
--- a/crates/edge/src/history/mod.rs
+++ b/crates/edge/src/history/mod.rs
@@ -22,7 +22,8 @@
     /// Log lines of the request, ordered by time.
     pub steps: Vec<LogLine>,
     /// Events of the daemon that wrote the last step, from shortly before the request to its end:
-    /// about the targets that it used, the store and the configuration.
+    /// about the targets that it used, the store and the configuration; and what any daemon
+    /// decided about requests with the same content.
     #[serde(rename = "beliefs")]
     pub daemon_events: Vec<LogLine>,
     /// Why the request ended as it did.
@@ -43,7 +44,8 @@
         let first_ms = steps[0].time_ms.saturating_sub(EVENT_WINDOW_MS);
         let is_relevant = |line: &&LogLine| {
             let in_time = (first_ms..=last.time_ms).contains(&line.time_ms);
-            in_time && line.daemon == last.daemon && line.may_affect(&steps)
+            let is_of_daemon = line.daemon == last.daemon && line.may_affect(&steps);
+            in_time && is_of_daemon || line.is_about_same_content(&steps)
         };
         let daemon_events: Vec<LogLine> = lines.iter().filter(is_relevant).cloned().collect();
         Some(Self {
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -15,12 +15,15 @@
 /// Reports an admitted request that was refused. No target ran it.
 pub(crate) fn job_refused(job: &Job, refusal: &Refusal) {
     job.is_end_reported.set(true);
-    refused(
-        &job.edge,
-        &job.request.envelope.id,
-        job.request.received,
-        refusal,
-    );
+    let id = &job.request.envelope.id;
+    if matches!(refusal, Refusal::CrashesTargets { .. }) {
+        log::info!(
+            request:% = id,
+            fingerprint:% = format_args!("{:016x}", job.fingerprint);
+            "refused_as_suspect"
+        );
+    }
+    refused(&job.edge, id, job.request.received, refusal);
 }
 
 /// Reports a request that was refused. No target ran it.
@@ -103,6 +106,7 @@
         bound = choice.bound,
         end:? = failed.end,
         cause = failed.cause,
+        fingerprint:% = format_args!("{:016x}", job.fingerprint),
         next:? = step,
         runs = job.progress.runs,
         retries_left,
--- a/crates/edge/tests/history.rs
+++ b/crates/edge/tests/history.rs
@@ -20,6 +20,10 @@
   2.7 edge-1 {"daemon":"edge-1","event":"refused","request":"7a8e-01","reason":"workspace_limit","time_ms":9700}
   2.8 edge-1 {"daemon":"edge-1","event":"sent","request":"r-gone","target":"i-1","time_ms":9800}
   2.9 edge-1 {"daemon":"edge-1","event":"caller_left","request":"r-gone","held_ms":3000,"time_ms":9900}
+  3.0 edge-2 {"daemon":"edge-2","event":"crash_suspected","fingerprint":"00c0","crashes":2,"target":"i-7","time_ms":1500}
+  3.0 edge-2 {"daemon":"edge-2","event":"crash_suspected","fingerprint":"00c1","crashes":1,"target":"i-7","time_ms":1500}
+  3.1 edge-1 {"daemon":"edge-1","event":"refused_as_suspect","request":"r-same","fingerprint":"00c0","time_ms":30000}
+  3.1 edge-1 {"daemon":"edge-1","event":"refused","request":"r-same","reason":"crashes_targets","time_ms":30001}
 not a line of a daemon
 "#;
 
@@ -61,6 +65,20 @@
     assert_eq!(history.daemon_events[3].text("target"), Some("i-1"));
 }
 
+/// A request is refused for crashes that another daemon saw, under another request id. Without their
+/// lines the refusal could not be explained.
+#[test]
+fn history_includes_decisions_of_other_daemons_about_the_same_content() {
+    let history = history("r-same").expect("the request has lines");
+    assert_eq!(history.cause.name, "crashes_targets");
+    let actual: Vec<(&str, Option<&str>)> = history
+        .daemon_events
+        .iter()
+        .map(|line| (line.event.as_str(), line.text("fingerprint")))
+        .collect();
+    assert_eq!(actual, [("crash_suspected", Some("00c0"))]);
+}
+
 #[test]
 fn a_request_without_lines_has_no_history() {
     assert_eq!(history("r-unknown"), None);
