--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -14,5 +14,5 @@
 pub use rate_limit::RateLimit;
 pub use refusal::Refusal;
 pub use stop_plan::{StopPhase, StopPlan};
-pub use suspects::{Suspects, Suspicion};
+pub use suspects::{Belief, Evidence, InterruptedAttempt, Suspects, TrialRecord, Verdict};
 pub use workspaces::Workspaces;
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Moment;
 use crate::ids::{TargetId, TargetKey};
-use crate::membership::entry::{TargetEntry, TargetState};
+use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
 use crate::retry::Breaker;
 use crate::routing::LoadView;
 
@@ -104,6 +104,25 @@
         Some(&self.targets[position])
     }
 
+    /// Whether this incarnation of a target is listed, or may be listed again after an outage of
+    /// the store.
+    #[must_use]
+    pub fn is_listed(&self, target: &TargetIncarnation) -> bool {
+        self.find(&target.id).is_some_and(|known| {
+            known.standing != Standing::Leaving && known.entry.incarnation() == *target
+        })
+    }
+
+    /// Whether a target announced its end, so that it exits as planned: it is draining, or its entry
+    /// was removed and it kept running for the time that leaving targets have.
+    #[must_use]
+    pub fn is_exit_planned(&self, now: Moment, key: TargetKey) -> bool {
+        self.get(key).is_some_and(|target| {
+            let is_past_drain = |at| now.saturating_sub(at) >= MIN_DRAIN_TIME;
+            target.entry.state == TargetState::Draining || target.left_at.is_some_and(is_past_drain)
+        })
+    }
+
     /// Targets of a service that get new requests.
     pub fn in_use<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownTarget> {
         self.targets.iter().filter(move |target| {
--- a/crates/core/src/membership/entry.rs
+++ b/crates/core/src/membership/entry.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{FailureDomain, ServiceId, TargetId};
 
 value! {
@@ -14,6 +16,15 @@
         Draining,
     }
 
+    /// One incarnation of a target, under a name that is the same at all daemons.
+    #[derive(PartialOrd, Ord, Serialize, Deserialize)]
+    pub struct TargetIncarnation {
+        /// Name of the target.
+        pub id: TargetId,
+        /// Its start, in milliseconds of Unix time; zero if it announced none.
+        pub started_unix_ms: u64,
+    }
+
     /// Entry of one target in the store.
     pub struct TargetEntry {
         /// Name, unique in the fleet and stable across restarts.
@@ -35,3 +46,14 @@
         pub warmup_remaining: Duration,
     }
 }
+
+impl TargetEntry {
+    /// The incarnation that wrote the entry.
+    #[must_use]
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            id: self.id.clone(),
+            started_unix_ms: self.started_unix_ms.unwrap_or_default(),
+        }
+    }
+}
--- a/crates/core/src/membership/freshness.rs
+++ b/crates/core/src/membership/freshness.rs
@@ -35,6 +35,12 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Latest time at which the copy is known to match the store; none if there is no copy yet.
+    #[must_use]
+    pub fn confirmed_at(&self) -> Option<Moment> {
+        self.confirmed_at
+    }
+
     /// Age of the copy; none if there is no copy yet.
     #[must_use]
     pub fn age(&self, now: Moment) -> Option<Duration> {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -8,7 +8,7 @@
 pub mod traffic_share;
 
 pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
-pub use entry::{TargetEntry, TargetState};
+pub use entry::{TargetEntry, TargetIncarnation, TargetState};
 pub use freshness::Freshness;
 pub use mirror::{Mirror, StoreItem};
 pub use sources::{DaemonRecord, Source, Sources, max_source_age};
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -2,18 +2,64 @@
 
 use std::time::Duration;
 
-use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, MAX_BAN, Suspects, Suspicion};
+use lapismoor_core::Moment;
+use lapismoor_core::admission::suspects::{
+    CONFIRMATION_WINDOW, CRASHES_ALLOWED, MAX_BAN, MAX_TRIALS, TrialClaim, TrialClaimStep,
+};
+use lapismoor_core::admission::{
+    Belief, Evidence, InterruptedAttempt, Suspects, TrialRecord, Verdict,
+};
+use lapismoor_core::ids::Fingerprint;
+use lapismoor_core::membership::TargetIncarnation;
+use lapismoor_core::store::{Record, StoreAnswer, StoreFailure, StoreRequest};
+use test_case::test_case;
 
-const CRASHING: u64 = 666;
+const CRASHING: Fingerprint = 666;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
+fn target(number: u64) -> TargetIncarnation {
+    TargetIncarnation {
+        id: format!("engine-{number}").into(),
+        started_unix_ms: 1,
+    }
+}
+
+fn attempt(fingerprint: Fingerprint, number: u64, sent_ms: u64) -> InterruptedAttempt {
+    InterruptedAttempt {
+        fingerprint,
+        target: target(number),
+        sent_at: ms(sent_ms),
+        had_answer: false,
+        belief: Belief::Presumed,
+    }
+}
+
 /// Records an attempt that was interrupted by the crash of its target.
-fn crash(suspects: &mut Suspects, at_ms: u64, fingerprint: u64, target: u64) -> Vec<Suspicion> {
-    suspects.record_interrupted_attempt(ms(at_ms + 10), fingerprint, target, ms(at_ms));
-    suspects.record_crash(ms(at_ms + 20), target)
+fn crash(
+    suspects: &mut Suspects,
+    at_ms: u64,
+    fingerprint: Fingerprint,
+    number: u64,
+) -> Vec<Fingerprint> {
+    suspects.record_interrupted_attempt(ms(at_ms + 10), attempt(fingerprint, number, at_ms));
+    suspects.record_crash(ms(at_ms + 20), &target(number))
+}
+
+/// Judges the interruptions as a daemon does whose copy of the store is up to date.
+fn settle(suspects: &mut Suspects, now: Moment, is_listed: bool) {
+    suspects.settle(now, Some(now), Moment::ZERO, |_| is_listed);
+}
+
+/// Tells `to` all that `from` has to share.
+fn share(from: &mut Suspects, to: &mut Suspects, now: Moment) {
+    if let Some((evidence, _)) = from.take_unshared(now) {
+        let received = Evidence::parse(&evidence.to_json()).expect("valid evidence");
+        assert_eq!(received, evidence);
+        to.merge(now, &received);
+    }
 }
 
 /// The caller retries the request as soon as it has failed.
@@ -34,6 +80,31 @@
     assert!(suspects.ban(ms(20_000) + MAX_BAN, CRASHING).is_none());
 }
 
+/// Trials end: an unlimited number would allow a crash after each ban.
+#[test]
+fn request_is_refused_after_its_trials_until_the_evidence_expires() {
+    let mut suspects = Suspects::default();
+    for target in 1..=3 {
+        crash(&mut suspects, 1_000 * target, CRASHING, target);
+    }
+    let mut crashes = 0;
+    for second in 4..500 {
+        if let Verdict::Trial { number } = suspects.verdict(ms(1_000 * second), CRASHING) {
+            let trial = TrialRecord {
+                fingerprint: CRASHING,
+                number,
+            };
+            suspects.record_trial(ms(1_000 * second), trial);
+            crashes += 1;
+            crash(&mut suspects, 1_000 * second, CRASHING, second);
+        }
+    }
+    assert_eq!(crashes, MAX_TRIALS);
+    let expired_at = ms(500_000) + MAX_BAN;
+    settle(&mut suspects, expired_at, false);
+    assert_eq!(suspects.verdict(expired_at, CRASHING), Verdict::Run);
+}
+
 /// Ten other requests are in flight at each target that crashes. They are answered by other targets
 /// and must not be banned.
 #[test]
@@ -42,27 +113,32 @@
     for target in 1..=3 {
         let now = 1_000 * target;
         for other in 0..10 {
-            suspects.record_interrupted_attempt(ms(now + 5), other, target, ms(now - 500));
+            let interrupted = attempt(other, target, now - 500);
+            suspects.record_interrupted_attempt(ms(now + 5), interrupted);
         }
         crash(&mut suspects, now, CRASHING, target);
         for other in 0..10 {
             assert_eq!(suspects.ban(ms(now + 30), other), None);
-            suspects.clear(other);
+            suspects.clear(ms(now + 30), other);
         }
     }
     assert!(suspects.ban(ms(4_000), CRASHING).is_some());
 }
 
 /// A request is retried at further targets before the crash of the first one is detected. Each
-/// crash must count.
-#[test]
-fn consecutive_attempts_count_before_the_crashes_are_detected() {
+/// crash must count, in whatever order an update of the store reports them.
+#[test_case([1, 2, 3])]
+#[test_case([3, 2, 1])]
+#[test_case([2, 3, 1])]
+fn consecutive_attempts_count_before_the_crashes_are_detected(reported: [u64; 3]) {
     let mut suspects = Suspects::default();
-    suspects.record_interrupted_attempt(ms(1_010), CRASHING, 1, ms(1_000));
-    suspects.record_interrupted_attempt(ms(1_030), CRASHING, 2, ms(1_011));
-    suspects.record_interrupted_attempt(ms(1_050), CRASHING, 3, ms(1_031));
-    for target in 1..=3 {
-        suspects.record_crash(ms(3_000 + target), target);
+    suspects.record_interrupted_attempt(ms(1_010), attempt(CRASHING, 1, 1_000));
+    suspects.record_interrupted_attempt(ms(1_030), attempt(CRASHING, 2, 1_011));
+    suspects.record_interrupted_attempt(ms(1_050), attempt(CRASHING, 3, 1_031));
+    // The store reports the crashes more than three seconds later, too late to wait for them.
+    assert!(suspects.ban(ms(1_100), CRASHING).is_some());
+    for target_number in reported {
+        suspects.record_crash(ms(3_000 + target_number), &target(target_number));
     }
     assert!(suspects.ban(ms(3_100), CRASHING).is_some());
 }
@@ -77,21 +153,38 @@
     }
     assert!(suspects.ban(ms(4_000), 7).is_some());
     assert_eq!(suspects.ban(ms(14_000), 7), None);
-    suspects.clear(7);
+    suspects.clear(ms(14_000), 7);
     crash(&mut suspects, 15_000, 7, 1);
     assert_eq!(suspects.ban(ms(15_100), 7), None);
 }
 
+/// A stream is present at three targets that crash for another reason while they answer it. It must
+/// be served by the next one, and not wait for the end of a ban.
+#[test]
+fn request_that_was_being_answered_is_tried_again_at_once() {
+    let mut suspects = Suspects::default();
+    for number in 1..=3 {
+        let mut interrupted = attempt(7, number, 1_000 * number);
+        interrupted.had_answer = true;
+        suspects.record_interrupted_attempt(ms(1_000 * number + 500), interrupted);
+        suspects.record_crash(ms(1_000 * number + 600), &target(number));
+    }
+    assert_eq!(suspects.ban(ms(3_700), 7), None);
+    assert_eq!(suspects.verdict(ms(3_700), 7), Verdict::Trial { number: 1 });
+    suspects.clear(ms(3_800), 7);
+    assert_eq!(suspects.verdict(ms(3_800), 7), Verdict::Run);
+}
+
 /// All targets of a service crash at the same time while the same call is in flight at each. The
 /// crashes must count as one.
 #[test]
 fn simultaneous_crashes_count_once() {
     let mut suspects = Suspects::default();
     for target in 1..=4 {
-        suspects.record_interrupted_attempt(ms(1_000 + target), 7, target, ms(900));
+        suspects.record_interrupted_attempt(ms(1_000 + target), attempt(7, target, 900));
     }
-    for target in 1..=4 {
-        suspects.record_crash(ms(1_100 + target), target);
+    for number in 1..=4 {
+        suspects.record_crash(ms(1_100 + number), &target(number));
     }
     assert_eq!(suspects.ban(ms(1_200), 7), None);
 }
@@ -99,48 +192,247 @@
 #[test]
 fn interrupted_attempt_without_a_crash_does_not_count() {
     let mut suspects = Suspects::default();
-    for target in 1..10 {
+    for number in 1..10 {
         suspects.record_interrupted_attempt(
-            ms(1_000 * target),
-            CRASHING,
-            target,
-            ms(1_000 * target - 10),
+            ms(1_000 * number),
+            attempt(CRASHING, number, 1_000 * number - 10),
         );
         assert_eq!(
-            suspects.record_crash(ms(1_000 * target + 10), 99),
-            Vec::new()
+            suspects.record_crash(ms(1_000 * number + 10), &target(99)),
+            Vec::<Fingerprint>::new()
         );
-        let late = suspects.record_crash(ms(1_000 * target + 8_000), target);
+        let later = ms(1_000 * number + 8_000);
+        settle(&mut suspects, later, true);
+        let late = suspects.record_crash(later, &target(number));
         assert_eq!(
             late,
-            Vec::new(),
+            Vec::<Fingerprint>::new(),
             "the target kept running after the attempt"
         );
     }
     assert_eq!(suspects.ban(ms(20_000), CRASHING), None);
 }
 
-/// The caller retries at another daemon each time.
+/// Connections are reset while the targets keep running. A target that answers a later request did
+/// not crash, and the request must not be refused for as long as that is unconfirmed.
+#[test]
+fn target_that_answers_later_did_not_crash() {
+    let mut suspects = Suspects::default();
+    for number in 1..=5 {
+        suspects.record_interrupted_attempt(ms(100 * number), attempt(7, number, 100 * number - 9));
+        assert_eq!(suspects.verdict(ms(100 * number), 7), Verdict::Run);
+        suspects.record_answer(&target(number), ms(100 * number + 1));
+    }
+    // Unless it turns out that another incarnation answered.
+    suspects.record_crash(ms(1_000), &target(1));
+    assert_eq!(suspects.standing(ms(1_000), 7).crashes, 1);
+}
+
+/// While the store is unavailable, the entry of a crashed target stays listed. It proves nothing.
+#[test]
+fn target_listed_in_an_outdated_copy_may_have_crashed() {
+    let mut suspects = Suspects::default();
+    for number in 1..=3 {
+        suspects.record_interrupted_attempt(ms(100 * number), attempt(7, number, 100 * number - 9));
+    }
+    let later = ms(300) + CONFIRMATION_WINDOW;
+    suspects.settle(later, Some(ms(200)), Moment::ZERO, |_| true);
+    assert_eq!(suspects.standing(later, 7).crashes, 3);
+    // The store is back, and has not had the time to drop the entry.
+    suspects.settle(later + ms(100), Some(later), later, |_| true);
+    assert_eq!(suspects.standing(later, 7).crashes, 3);
+    let settled_at = later + CONFIRMATION_WINDOW;
+    suspects.settle(settled_at, Some(settled_at), later, |_| true);
+    assert_eq!(suspects.standing(settled_at, 7).crashes, 0);
+}
+
+/// A target that falls silent may only be slow; it counts once its crash is confirmed.
+#[test]
+fn silent_target_counts_only_when_it_crashed() {
+    let mut suspects = Suspects::default();
+    for number in 1..=3 {
+        let mut interrupted = attempt(7, number, 1_000 * number);
+        interrupted.belief = Belief::Silent;
+        suspects.record_interrupted_attempt(ms(1_000 * number + 900), interrupted);
+    }
+    assert_eq!(suspects.verdict(ms(4_000), 7), Verdict::Run);
+    for number in 1..=3 {
+        suspects.record_crash(ms(5_000), &target(number));
+    }
+    assert_eq!(suspects.standing(ms(5_000), 7).crashes, 3);
+}
+
+/// The caller retries at another daemon each time, so that each daemon sees one crash only.
 #[test]
 fn crashes_are_counted_across_daemons() {
-    let mut daemons = [Suspects::default(), Suspects::default()];
-    assert!(!crash(&mut daemons[0], 1_000, CRASHING, 1)[0].is_shared());
-    let shared = crash(&mut daemons[0], 2_000, CRASHING, 2);
-    assert!(shared[0].is_shared());
-    let received = Suspicion::from_key(&shared[0].record_key()).expect("the key of a suspicion");
-    assert_eq!(received, shared[0]);
-    daemons[1].merge(ms(2_500), &received);
-    crash(&mut daemons[1], 3_000, CRASHING, 3);
-    assert!(daemons[1].ban(ms(3_100), CRASHING).is_some());
-}
-
-#[test]
-fn key_of_another_record_is_not_a_suspicion() {
-    for key in [
-        "lapismoor/suspects/x/1",
-        "lapismoor/suspects/1f",
-        "servers/i-1",
-    ] {
-        assert_eq!(Suspicion::from_key(key), None, "{key}");
+    let mut daemons = [1, 2, 3].map(Suspects::new);
+    for number in 1..=3_u64 {
+        let now = 1_000 * number;
+        let [first, second, third] = &mut daemons;
+        let (own, others) = match number {
+            1 => (first, [second, third]),
+            2 => (second, [first, third]),
+            _ => (third, [first, second]),
+        };
+        assert_eq!(own.ban(ms(now), CRASHING), None);
+        crash(own, now, CRASHING, number);
+        let (evidence, _) = own
+            .take_unshared(ms(now + 600))
+            .expect("something to share");
+        for other in others {
+            other.merge(ms(now + 650), &evidence);
+        }
+    }
+    for suspects in &daemons {
+        assert!(suspects.ban(ms(3_700), CRASHING).is_some());
+        assert_eq!(suspects.standing(ms(3_700), CRASHING).crashes, 3);
+    }
+}
+
+/// Two daemons see two crashes each at the same time. Four targets crashed, not two.
+#[test]
+fn crashes_at_two_daemons_add_up() {
+    let mut daemons = [1, 2].map(Suspects::new);
+    for (daemon, first_target) in [(0, 1), (1, 3)] {
+        crash(&mut daemons[daemon], 1_000, CRASHING, first_target);
+        crash(&mut daemons[daemon], 1_050, CRASHING, first_target + 1);
+    }
+    let [first, second] = &mut daemons;
+    share(first, second, ms(1_100));
+    share(second, first, ms(1_100));
+    for suspects in &daemons {
+        assert_eq!(suspects.standing(ms(1_200), CRASHING).crashes, 4);
+        assert!(suspects.ban(ms(1_200), CRASHING).is_some());
+    }
+}
+
+/// Evidence of a request that was interrupted once waits, as most are answered by the next target;
+/// a second interruption is shared at once.
+#[test]
+fn repeated_interruptions_are_shared_at_once() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, 1_000, CRASHING, 1);
+    crash(&mut suspects, 1_000, 7, 1);
+    assert_eq!(suspects.take_unshared(ms(1_100)), None);
+    suspects.clear(ms(1_150), 7);
+    crash(&mut suspects, 1_200, CRASHING, 2);
+    let (evidence, is_urgent) = suspects.take_unshared(ms(1_230)).expect("evidence");
+    let shared: Vec<Fingerprint> = evidence
+        .interrupted
+        .iter()
+        .map(|shared| shared.fingerprint)
+        .collect();
+    assert_eq!((shared, is_urgent), (vec![CRASHING, CRASHING], true));
+    assert_eq!(suspects.take_unshared(ms(9_000)), None);
+}
+
+/// A request that other daemons refuse is answered in a trial. They must learn of it at once.
+#[test]
+fn answer_of_a_refused_request_is_shared_at_once() {
+    let (mut author, mut reader) = (Suspects::new(1), Suspects::new(2));
+    for number in 1..=3 {
+        crash(&mut author, 1_000 * number, 7, number);
+    }
+    share(&mut author, &mut reader, ms(4_000));
+    assert!(reader.ban(ms(4_000), 7).is_some());
+    author.clear(ms(14_000), 7);
+    let (evidence, is_urgent) = author.take_unshared(ms(14_001)).expect("withdrawals");
+    assert!(is_urgent);
+    reader.merge(ms(14_010), &evidence);
+    assert_eq!(reader.verdict(ms(14_010), 7), Verdict::Run);
+}
+
+/// The withdrawal of an interruption may arrive before the interruption, for example when a daemon
+/// that starts reads all records in the order of their keys.
+#[test]
+fn withdrawal_that_arrives_first_holds() {
+    let (mut author, mut reader) = (Suspects::new(1), Suspects::new(2));
+    for number in 1..=3 {
+        crash(&mut author, 1_000 * number, 7, number);
+    }
+    let (interrupted, _) = author.take_unshared(ms(4_000)).expect("evidence");
+    author.clear(ms(4_100), 7);
+    let (withdrawn, _) = author.take_unshared(ms(4_200)).expect("a withdrawal");
+    reader.merge(ms(5_000), &withdrawn);
+    reader.merge(ms(5_000), &interrupted);
+    assert_eq!(reader.verdict(ms(5_000), 7), Verdict::Run);
+}
+
+/// A target restarts so quickly that its new entry has not arrived when the request crashes it again.
+/// Two crashes under one name count as two, also if different daemons see them.
+#[test]
+fn crashes_before_the_new_entry_arrives_count_each() {
+    let mut daemons = [1, 2].map(Suspects::new);
+    for suspects in &mut daemons {
+        for at in [1_000, 1_200] {
+            suspects.record_interrupted_attempt(ms(at + 10), attempt(CRASHING, 1, at));
+        }
+    }
+    let [first, second] = &mut daemons;
+    assert_eq!(first.standing(ms(1_300), CRASHING).crashes, 2);
+    share(first, second, ms(1_300));
+    share(second, first, ms(1_300));
+    for suspects in &daemons {
+        assert_eq!(suspects.standing(ms(1_400), CRASHING).crashes, 4);
+    }
+}
+
+/// A trial that another daemon runs must not be run here as well, and the caller is told to return
+/// soon.
+#[test]
+fn claimed_trial_is_not_run_again() {
+    let mut suspects = Suspects::default();
+    for number in 1..=3 {
+        crash(&mut suspects, 1_000 * number, CRASHING, number);
+    }
+    let due = ms(14_000);
+    assert_eq!(
+        suspects.verdict(due, CRASHING),
+        Verdict::Trial { number: 1 }
+    );
+    let trial = TrialRecord {
+        fingerprint: CRASHING,
+        number: 1,
+    };
+    suspects.record_trial(due, trial);
+    let retry_after = suspects.ban(due + ms(1), CRASHING).expect("refused");
+    assert!(retry_after <= ms(1_000), "{retry_after:?}");
+}
+
+/// An answer to the claim is lost. The daemon recognizes its own record, and no other daemon takes
+/// it for its own.
+#[test]
+fn trial_is_claimed_once_despite_lost_answers() {
+    let trial = TrialRecord {
+        fingerprint: CRASHING,
+        number: 2,
+    };
+    let mut claim = TrialClaim::new(trial, 77, 1);
+    let lost = Err(StoreFailure {
+        reason: "no answer".into(),
+    });
+    let call = claim.begin();
+    assert_eq!(claim.next(&lost), TrialClaimStep::Call(call.clone()));
+    let StoreRequest::Swap { key, value, .. } = call else {
+        panic!("the claim is one conditional write");
+    };
+    assert_eq!(TrialRecord::from_key(&key), Some(trial));
+    let conflict = Ok(StoreAnswer::Conflict {
+        record: Some(Record { value, version: 5 }),
+    });
+    assert_eq!(claim.next(&conflict), TrialClaimStep::Claimed);
+    let mut other = TrialClaim::new(trial, 78, 1);
+    assert_eq!(other.next(&conflict), TrialClaimStep::Taken);
+    let mut unlucky = TrialClaim::new(trial, 79, 1);
+    assert!(matches!(unlucky.next(&lost), TrialClaimStep::Call(_)));
+    assert_eq!(unlucky.next(&lost), TrialClaimStep::Unanswered);
+}
+
+#[test]
+fn key_of_another_record_is_not_a_trial() {
+    for key in ["lapismoor/trials/x/1", "lapismoor/trials/1f", "servers/i-1"] {
+        assert_eq!(TrialRecord::from_key(key), None, "{key}");
     }
+    assert!(!Evidence::is_record_key("servers/i-1"));
+    assert!(Evidence::parse(b"{\"interrupted\": 3}").is_err());
 }
--- /dev/null
+++ b/crates/demo/src/crashing.rs
@@ -0,0 +1,145 @@
+//! A caller whose request ends every engine that runs it, and the check of how many it ends.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lapismoor_adapter_standin::RunRecord;
+use serde_json::{Value, json};
+
+use crate::checker::TargetRecords;
+use crate::fleet::Fleet;
+
+/// Time after the third end within which all daemons must know of it, by the users' rule.
+const DETECTION_TIME_MS: u64 = 3_000;
+/// Engines that the request may still reach after that, by the same rule.
+pub const MAX_LATE_RUNS: usize = 3;
+/// Timeout of one request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
+/// API key of the workspace `north-mobile` in `examples/midshire.json`.
+const API_KEY: &str = "north-mobile-key";
+
+/// What identifies the request at its callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Identity {
+    /// Nothing; the daemon may send it to several engines.
+    None,
+    /// A new idempotency key each time, so that one engine at most runs it.
+    NewKey,
+}
+
+/// Answer to one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CrashingAnswer {
+    /// Status of the response; 0 if the connection failed.
+    pub status: u16,
+    /// Kind and outcome of the error, or the start of the body.
+    pub error: (String, String),
+    /// Whether the answer is a stream that ended as complete.
+    pub is_complete: bool,
+    /// Id of the request, which starts the ids of its attempts.
+    pub request_id: String,
+}
+
+/// Sends the request with `marker` that ends engines to the daemon at `address`.
+pub async fn send(address: SocketAddr, marker: &str, identity: Identity) -> CrashingAnswer {
+    send_text(address, marker, "crash this engine", identity).await
+}
+
+/// Sends a chat with `marker` and `text` to the daemon at `address`.
+pub async fn send_text(
+    address: SocketAddr,
+    marker: &str,
+    text: &str,
+    identity: Identity,
+) -> CrashingAnswer {
+    let content = format!("marker:{marker} {text}");
+    let body = json!({"stream": true, "messages": [{"role": "user", "content": content}]});
+    let request_id = format!("{:032x}", rand::random::<u128>());
+    let client = awc::Client::builder().timeout(REQUEST_TIMEOUT).finish();
+    let mut request = client
+        .post(format!("http://{address}/v1/chat/completions"))
+        .insert_header(("authorization", format!("Bearer {API_KEY}")))
+        .insert_header(("x-profile", "shop-counter"))
+        .insert_header(("x-chat-id", marker))
+        .insert_header(("traceparent", format!("00-{request_id}-{:016x}-01", 1)));
+    if identity == Identity::NewKey {
+        let key = format!("{:016x}", rand::random::<u64>());
+        request = request.insert_header(("idempotency-key", key));
+    }
+    let Ok(mut response) = request.send_json(&body).await else {
+        return CrashingAnswer {
+            status: 0,
+            error: ("no answer".into(), "unknown".into()),
+            is_complete: false,
+            request_id,
+        };
+    };
+    let bytes = response.body().await.unwrap_or_default();
+    let parsed: Value = serde_json::from_slice(&bytes).unwrap_or_default();
+    let text = |name: &str| {
+        parsed["error"][name]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    CrashingAnswer {
+        status: response.status().as_u16(),
+        error: (text("kind"), text("outcome")),
+        is_complete: bytes.trim_ascii_end().ends_with(b"data: [DONE]"),
+        request_id,
+    }
+}
+
+/// Starts every engine again that has ended, under the same id.
+///
+/// # Errors
+/// If a process cannot be started.
+pub fn restart_ended_engines(fleet: &mut Fleet) -> io::Result<()> {
+    for index in 0..fleet.engines.len() {
+        if fleet.engines[index].process.has_ended() {
+            fleet.restart_engine(index)?;
+        }
+    }
+    Ok(())
+}
+
+/// Runs of requests with `marker`, in order of their start.
+///
+/// # Errors
+/// If the records of an engine cannot be read.
+pub fn runs(fleet: &Fleet, marker: &str) -> io::Result<Vec<RunRecord>> {
+    let mut found = Vec::new();
+    for engine in &fleet.engines {
+        let records = TargetRecords::read(&engine.name, &engine.records_path, None)?.records;
+        let is_run = |record: &RunRecord| record.what == "begin" && record.marker == marker;
+        found.extend(records.into_iter().filter(is_run));
+    }
+    found.sort_by_key(|record| record.time_ms);
+    Ok(found)
+}
+
+/// Number of runs that started when all daemons had to know of the third.
+#[must_use]
+pub fn late_runs(runs: &[RunRecord]) -> usize {
+    let Some(third) = runs.get(2) else {
+        return 0;
+    };
+    let known_from_ms = third.time_ms + DETECTION_TIME_MS;
+    let late = runs.iter().filter(|run| run.time_ms > known_from_ms);
+    late.count()
+}
+
+/// Answers that promise that the request did not run although an engine began to.
+#[must_use]
+pub fn false_refusals<'a>(
+    answers: &'a [CrashingAnswer],
+    runs: &[RunRecord],
+) -> Vec<&'a CrashingAnswer> {
+    let has_run = |answer: &CrashingAnswer| {
+        let is_own = |run: &RunRecord| run.attempt.starts_with(&answer.request_id);
+        runs.iter().any(is_own)
+    };
+    let refused = answers.iter().filter(|answer| answer.error.1 == "not_run");
+    refused.filter(|answer| has_run(answer)).collect()
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod checker;
+pub mod crashing;
 pub mod fleet;
 pub mod fleet_client;
 pub mod fleet_size;
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::rt;
-use lapismoor_core::admission::{StopPlan, Suspects, Workspaces};
+use lapismoor_core::admission::{Evidence, StopPlan, Suspects, Workspaces};
 use lapismoor_core::config::{Accepted, ConfigInForce};
-use lapismoor_core::ids::{Incarnation, ServiceId, TargetId, TargetKey};
-use lapismoor_core::membership::{DaemonRecord, Directory, Freshness, Mirror, TrafficShare};
+use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey};
+use lapismoor_core::membership::{
+    DaemonRecord, Directory, Freshness, Mirror, TargetIncarnation, TrafficShare,
+};
 use lapismoor_core::once::Ledger;
 use lapismoor_core::retry::RetryBudget;
 use lapismoor_core::routing::{
@@ -29,7 +30,7 @@
 use crate::profiles::KeyLease;
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
-use crate::store::{StoreClient, suspects};
+use crate::store::{RecordLease, StoreClient};
 
 /// A daemon between callers and targets.
 pub struct Edge {
@@ -59,6 +60,14 @@
     pub in_flight: Cell<usize>,
     /// Calls the store.
     pub store: StoreClient,
+    /// Notified when an attempt is interrupted, or a request that was interrupted is answered.
+    pub attempt_interrupted: Notify,
+    /// Notified when the store or another daemon has taken a record about interrupted requests.
+    pub evidence_acknowledged: Notify,
+    /// Store lease of the records about interrupted requests.
+    pub suspects_lease: RecordLease,
+    /// Number of records about interrupted requests that are not in the store yet.
+    pub unstored_evidence: Cell<usize>,
     /// Notified when a request under a ticket or idempotency key ends.
     pub idempotent_request_ended: Notify,
     /// Store lease of the records that bind callers' idempotency keys.
@@ -78,7 +87,7 @@
     pub workspaces: Workspaces,
     /// Requests under tickets and idempotency keys that this daemon owns.
     pub ledger: Ledger,
-    /// Requests that are suspected of crashing targets.
+    /// Requests that were interrupted at targets, and may have crashed them.
     pub suspects: Suspects,
     /// Known targets, with their load and health.
     pub directory: Directory,
@@ -92,6 +101,8 @@
     pub chooser: Chooser,
     /// Tracks the age of the configuration.
     pub freshness: Freshness,
+    /// When the store last became available again; zero if it always was.
+    pub store_stable_since: Moment,
     /// This daemon's share of the fleet's traffic.
     pub traffic_share: TrafficShare,
     /// Invariant: sorted by service.
@@ -128,20 +139,22 @@
         dialect: Dialect,
         store: StoreClient,
     ) -> Rc<Self> {
-        let ledger = Ledger::new(rand::random(), settings.once.clone());
+        let incarnation = rand::random();
+        let ledger = Ledger::new(incarnation, settings.once.clone());
         let key_lease = KeyLease::new(settings.once.key_records_per_second);
         let state = State {
             config: ConfigInForce::default(),
             profiles: ConfigInForce::default(),
             workspaces: Workspaces::default(),
             ledger,
-            suspects: Suspects::default(),
+            suspects: Suspects::new(incarnation),
             directory: Directory::default(),
             mirror: Mirror::default(),
             daemons: Vec::new(),
             has_loaded_targets: false,
             chooser: Chooser::new(settings.domain.clone(), settings.limits.load_bound.clone()),
             freshness: Freshness::new(settings.limits.revoke_within),
+            store_stable_since: Moment::ZERO,
             traffic_share: TrafficShare::default(),
             retry_budgets: Vec::new(),
         };
@@ -160,6 +173,10 @@
             stopping_since: Cell::new(None),
             in_flight: Cell::new(0),
             store,
+            attempt_interrupted: Notify::new(),
+            evidence_acknowledged: Notify::new(),
+            suspects_lease: RecordLease::default(),
+            unstored_evidence: Cell::new(0),
             idempotent_request_ended: Notify::new(),
             key_lease,
             peer_bytes: ByteCounter::default(),
@@ -335,39 +352,72 @@
         }
     }
 
-    /// Records evidence that a target crashed. Requests whose connection to it was lost are
-    /// suspected of causing the crash, and repeated suspicions are shared with the fleet.
-    pub fn target_crashed(&self, target: TargetKey) {
+    /// Incarnation of a target, if it is known.
+    #[must_use]
+    pub fn incarnation_of(&self, target: TargetKey) -> Option<TargetIncarnation> {
+        let state = self.state.borrow();
+        Some(state.directory.get(target)?.entry.incarnation())
+    }
+
+    /// Records that a target crashed, which confirms the suspicion against the requests that were
+    /// interrupted there.
+    pub fn target_crashed(&self, target: &TargetIncarnation) {
         let now = self.now();
-        let target_id = self
-            .address_of(target)
-            .map(|(id, _)| id)
-            .unwrap_or_default();
-        let (raised, uncounted) = {
-            let suspects = &mut self.state.borrow_mut().suspects;
-            (
-                suspects.record_crash(now, target),
-                suspects.take_uncounted(),
-            )
-        };
-        for crash in uncounted {
-            log::warn!(
-                fingerprint:% = format_args!("{:016x}", crash.fingerprint),
-                target:% = target_id,
-                detected_after_ms = millis(crash.detected_after);
-                "crash_not_counted"
+        let interrupted = self.state.borrow_mut().suspects.record_crash(now, target);
+        for fingerprint in interrupted {
+            self.log_suspect(fingerprint, &target.id, "confirmed");
+        }
+    }
+
+    /// Records that a target answered a request sent at `sent_at`, which refutes the suspicion
+    /// against requests that were interrupted there before.
+    pub fn target_survived(&self, target: TargetKey, sent_at: Moment) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        if state.suspects.has_unconfirmed()
+            && let Some(known) = state.directory.get(target)
+        {
+            let incarnation = known.entry.incarnation();
+            state.suspects.record_answer(&incarnation, sent_at);
+        }
+    }
+
+    /// Merges what another daemon saw of interrupted requests; `source` names its record.
+    pub fn merge_evidence(&self, source: &str, evidence: &Evidence) {
+        let now = self.now();
+        let changed = self.state.borrow_mut().suspects.merge(now, evidence);
+        if !changed.is_empty() {
+            log::info!(
+                source,
+                interrupted = evidence.interrupted.len() as u64,
+                withdrawn = evidence.withdrawn.len() as u64;
+                "suspects_received"
             );
         }
-        for suspicion in raised {
+        for shared in &evidence.interrupted {
+            if changed.contains(&shared.fingerprint) {
+                self.log_suspect(shared.fingerprint, &shared.target.id, "received");
+            }
+        }
+    }
+
+    /// Logs new evidence against a request that was interrupted at more than one target. Single
+    /// interruptions are in the lines of their attempts.
+    pub fn log_suspect(&self, fingerprint: Fingerprint, target: &TargetId, evidence: &str) {
+        let standing = {
+            let state = self.state.borrow();
+            state.suspects.standing(self.now(), fingerprint)
+        };
+        if standing.crashes > 1 {
             log::warn!(
-                fingerprint:% = format_args!("{:016x}", suspicion.fingerprint),
-                crashes = suspicion.crashes,
-                target:% = target_id;
+                fingerprint:% = format_args!("{fingerprint:016x}"),
+                target:%,
+                evidence,
+                crashes = standing.crashes as u64,
+                consecutive = standing.consecutive as u64,
+                trials = standing.trials;
                 "crash_suspected"
             );
-            if suspicion.is_shared() {
-                rt::spawn(suspects::publish(self.store.clone(), suspicion));
-            }
         }
     }
 
--- a/crates/edge/src/profiles/keys.rs
+++ b/crates/edge/src/profiles/keys.rs
@@ -1,6 +1,6 @@
 //! Binds idempotency keys of callers to request ids through records in the store.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -10,15 +10,15 @@
 use lapismoor_core::ids::{RequestId, WorkspaceId};
 use lapismoor_core::once::key_binding::store_unavailable;
 use lapismoor_core::once::{BindStep, KEY_LEASE_ROTATION, KEY_LEASE_TTL, KeyBinding, record_key};
-use lapismoor_core::store::{LeaseId, StoreAnswer, StoreFailure, StoreRequest, StoreResult};
+use lapismoor_core::store::{LeaseId, StoreFailure, StoreRequest, StoreResult};
 
 use crate::context::Edge;
+use crate::store::{RecordLease, records};
 
 /// The current lease of the key records, and the limit on the rate at which they are written.
 #[derive(Debug)]
 pub struct KeyLease {
-    /// The lease and the time until which new records may use it.
-    lease: Cell<Option<(LeaseId, Moment)>>,
+    lease: RecordLease,
     rate: RefCell<RateLimit>,
 }
 
@@ -27,7 +27,7 @@
     #[must_use]
     pub fn new(per_second: f64) -> Self {
         Self {
-            lease: Cell::new(None),
+            lease: RecordLease::default(),
             rate: RefCell::new(RateLimit::new(Moment::ZERO, per_second, per_second)),
         }
     }
@@ -68,7 +68,7 @@
                 return Ok(bound);
             }
             BindStep::LeaseGone => {
-                edge.key_lease.lease.set(None);
+                edge.key_lease.lease.forget();
                 return Err(store_unavailable());
             }
             BindStep::Failed(failure) => return Err(failure),
@@ -76,33 +76,21 @@
     }
 }
 
-/// Returns the current lease, or grants a new one when new records may no longer use it.
 async fn current_lease(edge: &Edge) -> Result<LeaseId, Failure> {
-    if let Some((lease, use_until)) = edge.key_lease.lease.get()
-        && edge.now() < use_until
-    {
-        return Ok(lease);
-    }
-    let request = StoreRequest::GrantLease { ttl: KEY_LEASE_TTL };
-    let Ok(StoreAnswer::Lease { lease }) = call_store(edge, request).await else {
-        return Err(store_unavailable());
-    };
-    let use_until = edge.now() + KEY_LEASE_ROTATION;
-    edge.key_lease.lease.set(Some((lease, use_until)));
-    Ok(lease)
+    let lease = edge
+        .key_lease
+        .lease
+        .get(edge, KEY_LEASE_TTL, KEY_LEASE_ROTATION);
+    lease.await.map_err(|failure| {
+        log_failure(&failure);
+        store_unavailable()
+    })
 }
 
 async fn call_store(edge: &Edge, request: StoreRequest) -> StoreResult {
-    let limit = edge.settings.tuning.store_timeout;
-    let answered = tokio::time::timeout(limit, (edge.store.call)(request)).await;
-    let result = answered.unwrap_or_else(|_| {
-        Err(StoreFailure {
-            reason: "the store did not answer within the timeout".into(),
-        })
-    });
-    edge.metrics.count_store_call("store", result.is_ok());
-    if let Err(failure) = &result {
-        log::warn!(reason:% = failure.reason; "key_record_call_failed");
-    }
-    result
+    records::call(edge, request).await.inspect_err(log_failure)
+}
+
+fn log_failure(failure: &StoreFailure) {
+    log::warn!(reason:% = failure.reason; "key_record_call_failed");
 }
--- a/crates/edge/src/profiles/outcome.rs
+++ b/crates/edge/src/profiles/outcome.rs
@@ -12,7 +12,7 @@
 use lapismoor_core::failure::{Failure, FailureKind, NotRunProof};
 
 use super::gateway::single;
-use crate::serve::{BufferedAnswer, Outcome};
+use crate::serve::{BufferedAnswer, CRASHES_TARGETS, Outcome};
 
 /// Failure cause of a stream that reached its deadline.
 const TIME_UP_CAUSE: &str = "time_up";
@@ -30,8 +30,10 @@
             head.chain(event_parts(*forwarder)).boxed_local()
         }
         Outcome::Refused(refusal) => single(CallerAnswer::Fail(refusal_failure(&refusal))),
-        Outcome::Failed { is_late, .. } => {
-            let kind = if is_late {
+        Outcome::Failed { cause, is_late, .. } => {
+            let kind = if cause == CRASHES_TARGETS {
+                FailureKind::CrashesTargets
+            } else if is_late {
                 FailureKind::DeadlinePassed
             } else {
                 FailureKind::TargetFailed
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -4,6 +4,7 @@
 
 use actix_http::{RequestHead, ResponseHead, header};
 use bytes::{Bytes, BytesMut};
+use lapismoor_core::admission::Belief;
 use lapismoor_core::ids::{TargetId, TargetKey};
 use lapismoor_core::retry::{AnswerKind, AttemptEnd, classify_answer};
 use lapismoor_core::routing::Choice;
@@ -20,6 +21,9 @@
 /// Longest body of a failed answer that is buffered to be forwarded to the caller, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
 
+/// Cause of an attempt whose target sent nothing for longer than the timeout.
+pub(crate) const TARGET_SILENT: &str = "target_silent";
+
 /// Counts a request as in flight at a target until dropped.
 pub(crate) struct TargetGuard {
     edge: Rc<Edge>,
@@ -70,8 +74,10 @@
     pub end: AttemptEnd,
     /// Name of the cause for logs and metrics.
     pub cause: &'static str,
-    /// Whether the connection was lost after the request was sent, as when the target crashes.
-    pub is_connection_lost: bool,
+    /// What the attempt shows about its target, if it was interrupted as by a crash.
+    pub interruption: Option<Belief>,
+    /// Whether part of the answer had arrived.
+    pub had_answer: bool,
     /// Failed answer of the target, to be forwarded if no other attempt succeeds.
     pub answer: Option<BufferedAnswer>,
 }
@@ -81,7 +87,8 @@
         Self {
             end,
             cause,
-            is_connection_lost: false,
+            interruption: None,
+            had_answer: false,
             answer: None,
         }
     }
@@ -89,10 +96,18 @@
     /// The connection was lost after the request was sent.
     pub(crate) fn connection_lost(cause: &'static str) -> Self {
         Self {
-            is_connection_lost: true,
+            interruption: Some(Belief::Presumed),
             ..Self::new(AttemptEnd::Unknown, cause)
         }
     }
+
+    /// The target sent nothing for longer than the timeout.
+    pub(crate) fn silent() -> Self {
+        Self {
+            interruption: Some(Belief::Silent),
+            ..Self::new(AttemptEnd::Unknown, TARGET_SILENT)
+        }
+    }
 }
 
 /// Sends the request to `choice` and waits for the head of the answer. A stream resumes after the
@@ -113,12 +128,16 @@
     }
     log_sent(job, choice, &target_id, last_event);
     job.sent_at.set(edge.now());
+    *job.sent_to.borrow_mut() = edge.incarnation_of(choice.target);
+    job.waits_for.set(Some(choice.target));
     let connection = match connect(job, choice.target, address).await {
         Ok(connection) => connection,
         Err(error) => {
             edge.target_unreachable(choice.target, error.name());
-            if error.is_refused() {
-                edge.target_crashed(choice.target);
+            if error.is_refused()
+                && let Some(target) = edge.incarnation_of(choice.target)
+            {
+                edge.target_crashed(&target);
             }
             return Err(FailedAttempt::new(AttemptEnd::NotSent, error.name()));
         }
@@ -134,16 +153,21 @@
         Err(WaitError::Exchange(error)) => return Err(failed_attempt(edge, choice.target, &error)),
         Err(WaitError::Silent) => {
             edge.target_unreachable(choice.target, "silent");
-            return Err(FailedAttempt::new(AttemptEnd::Unknown, "target_silent"));
+            return Err(FailedAttempt::silent());
         }
         Err(WaitError::Slow) => {
             edge.target_answered(choice.target, true);
             return Err(FailedAttempt::new(AttemptEnd::Unknown, "answer_late"));
         }
         Err(WaitError::DeadlinePassed) => {
-            return Err(FailedAttempt::new(AttemptEnd::Unknown, "time_up"));
+            return Err(FailedAttempt {
+                interruption: job.is_target_unheard().then_some(Belief::Silent),
+                ..FailedAttempt::new(AttemptEnd::Unknown, "time_up")
+            });
         }
     };
+    job.waits_for.set(None);
+    edge.target_survived(choice.target, job.sent_at.get());
     let metadata = (edge.dialect.read_answer)(head.headers());
     let answer = Answer {
         target: choice.target,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -1,12 +1,13 @@
 //! The state of one request across its attempts.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use lapismoor_core::Moment;
-use lapismoor_core::admission::Refusal;
+use lapismoor_core::admission::{Belief, InterruptedAttempt, Refusal, TrialRecord, Verdict};
 use lapismoor_core::ids::{Fingerprint, ServiceId, TargetKey, hash_parts};
+use lapismoor_core::membership::TargetIncarnation;
 use lapismoor_core::retry::{AttemptCounts, AttemptEnd, NextStep};
 use lapismoor_core::routing::{Choice, NoTarget, TargetQuery};
 use opentelemetry::trace::SpanKind;
@@ -19,10 +20,17 @@
 use crate::context::Edge;
 use crate::dialect::Envelope;
 use crate::spans::ActiveSpan;
+use crate::store::{ClaimResult, share_now, trials};
 
 /// Least time before the deadline with which another attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// Crashes from which on a request is sent to the least loaded target instead of its homes, and only
+/// after the evidence is shared.
+const SUSPICIOUS_CRASHES: usize = 2;
+/// Delay before a retry of a request whose trial runs at another daemon or could not be claimed.
+const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Counts a caller's request as in flight until dropped.
 pub(crate) struct CallerGuard {
     edge: Rc<Edge>,
@@ -58,6 +66,12 @@
     pub fingerprint: Fingerprint,
     /// When the last attempt was sent.
     pub sent_at: Cell<Moment>,
+    /// Target of the last attempt.
+    pub sent_to: RefCell<Option<TargetIncarnation>>,
+    /// Target whose answer has not begun; none between attempts.
+    pub waits_for: Cell<Option<TargetKey>>,
+    /// Number of runs before the trial that this job claimed; the trial permits one more.
+    trial_after_runs: Option<u32>,
     /// Whether the end of the request was logged and counted.
     pub is_end_reported: Cell<bool>,
     /// Whether part of an answer was forwarded to the caller.
@@ -82,6 +96,9 @@
             progress: AttemptCounts::default(),
             fingerprint: fingerprint(&request),
             sent_at: Cell::new(request.received),
+            sent_to: RefCell::new(None),
+            waits_for: Cell::new(None),
+            trial_after_runs: None,
             is_end_reported: Cell::new(false),
             is_delivering: false,
             queue_wait: Duration::ZERO,
@@ -99,6 +116,46 @@
         self.edge.state.borrow().suspects.ban(now, self.fingerprint)
     }
 
+    /// Checks before each attempt whether the request may be sent, and claims a trial if it may be
+    /// sent in one only.
+    ///
+    /// # Errors
+    /// The time after which the caller may retry, if the request must not be sent.
+    pub(crate) async fn clear_to_send(&mut self) -> Result<(), Duration> {
+        if self.trial_after_runs == Some(self.progress.runs) {
+            return Ok(());
+        }
+        let verdict = {
+            let state = self.edge.state.borrow();
+            state.suspects.verdict(self.edge.now(), self.fingerprint)
+        };
+        match verdict {
+            Verdict::Run if self.has_crashed_targets() => {
+                share_now(&self.edge, self.fingerprint).await;
+                Ok(())
+            }
+            Verdict::Run => Ok(()),
+            Verdict::Refuse { retry_after } => Err(retry_after),
+            Verdict::Trial { number } => self.claim_trial(number).await,
+        }
+    }
+
+    async fn claim_trial(&mut self, number: u32) -> Result<(), Duration> {
+        let trial = TrialRecord {
+            fingerprint: self.fingerprint,
+            number,
+        };
+        let claim = trials::claim(&self.edge, trial);
+        let claimed = tokio::time::timeout(self.time_left(), claim).await;
+        let result = claimed.unwrap_or(ClaimResult::Unanswered);
+        report::trial_claimed(self, number, result);
+        if result == ClaimResult::Claimed {
+            self.trial_after_runs = Some(self.progress.runs);
+            return Ok(());
+        }
+        Err(CLAIM_RETRY_AFTER)
+    }
+
     /// Waits in the admission queue until the request may be sent.
     ///
     /// # Errors
@@ -123,10 +180,19 @@
         self.deadline.saturating_sub(self.edge.now())
     }
 
+    /// Whether the request was interrupted at several targets.
+    fn has_crashed_targets(&self) -> bool {
+        let state = self.edge.state.borrow();
+        let standing = state.suspects.standing(self.edge.now(), self.fingerprint);
+        standing.crashes >= SUSPICIOUS_CRASHES
+    }
+
     /// Chooses the target of the next attempt.
     pub(crate) fn choose_target(&self) -> Result<Choice, NoTarget> {
         let now = self.edge.now();
-        let parts = if self.request.route.is_sticky {
+        // Requests that share a prompt part and were interrupted together would otherwise follow
+        // the one that crashes targets from home to home.
+        let parts = if self.request.route.is_sticky && !self.has_crashed_targets() {
             self.request.envelope.parts.as_slice()
         } else {
             &[]
@@ -147,10 +213,9 @@
     /// Records a failed attempt and decides what to do next.
     pub(crate) fn next_step(&mut self, target: TargetKey, failed: &FailedAttempt) -> NextStep {
         let end = &failed.end;
-        if failed.is_connection_lost {
-            let now = self.edge.now();
-            let suspects = &mut self.edge.state.borrow_mut().suspects;
-            suspects.record_interrupted_attempt(now, self.fingerprint, target, self.sent_at.get());
+        self.waits_for.set(None);
+        if let Some(belief) = failed.interruption {
+            self.record_interruption(target, belief, failed.had_answer);
         }
         self.progress.count_attempt(end);
         self.tried.push(target);
@@ -166,6 +231,38 @@
         )
     }
 
+    /// Whether the target of the attempt in flight has sent nothing since, on any connection.
+    pub(crate) fn is_target_unheard(&self) -> bool {
+        let target = self.waits_for.get();
+        target.is_some_and(|target| self.edge.heard_at(target) <= self.sent_at.get())
+    }
+
+    /// Records that the target of the last attempt may have crashed, unless it was about to exit.
+    fn record_interruption(&self, target: TargetKey, belief: Belief, had_answer: bool) {
+        let now = self.edge.now();
+        let Some(incarnation) = self.sent_to.borrow().clone() else {
+            return;
+        };
+        {
+            let mut state = self.edge.state.borrow_mut();
+            if state.directory.is_exit_planned(now, target) {
+                return;
+            }
+            let is_listed = state.directory.is_listed(&incarnation);
+            let attempt = InterruptedAttempt {
+                fingerprint: self.fingerprint,
+                sent_at: self.sent_at.get(),
+                had_answer,
+                belief: if is_listed { belief } else { Belief::Confirmed },
+                target: incarnation.clone(),
+            };
+            state.suspects.record_interrupted_attempt(now, attempt);
+        }
+        self.edge
+            .log_suspect(self.fingerprint, &incarnation.id, "interrupted");
+        self.edge.attempt_interrupted.notify_one();
+    }
+
     /// Whether attempts and success are logged: for sampled requests, and for all after a failed
     /// attempt.
     pub(crate) fn should_log(&self) -> bool {
@@ -182,6 +279,11 @@
 /// A job that is dropped before its end was reported lost its caller.
 impl Drop for Job {
     fn drop(&mut self) {
+        if let Some(target) = self.waits_for.get()
+            && self.is_target_unheard()
+        {
+            self.record_interruption(target, Belief::Silent, false);
+        }
         if !self.is_end_reported.get() {
             report::caller_left(self);
         }
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -24,7 +24,7 @@
 pub(crate) use attempt::BufferedAnswer;
 pub(crate) use job::{CallerGuard, Job};
 pub(crate) use report::refused as report_refused;
-pub(crate) use run::{Outcome, run};
+pub(crate) use run::{CRASHES_TARGETS, Outcome, run};
 pub(crate) use stream_forwarder::StreamForwarder;
 
 /// Serves one request that matches a route, or refuses it.
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -9,23 +9,56 @@
 
 use super::attempt::{BufferedAnswer, FailedAttempt};
 use super::job::Job;
+use super::run::CRASHES_TARGETS;
 use crate::context::Edge;
 use crate::millis::millis;
+use crate::store::ClaimResult;
 
 /// Reports an admitted request that was refused. No target ran it.
 pub(crate) fn job_refused(job: &Job, refusal: &Refusal) {
     job.is_end_reported.set(true);
     let id = &job.request.envelope.id;
     if matches!(refusal, Refusal::CrashesTargets { .. }) {
-        log::info!(
-            request:% = id,
-            fingerprint:% = format_args!("{:016x}", job.fingerprint);
-            "refused_as_suspect"
-        );
+        suspect_refused(job);
     }
     refused(&job.edge, id, job.request.received, refusal);
 }
 
+/// Logs the evidence for which a request is refused.
+fn suspect_refused(job: &Job) {
+    let standing = {
+        let state = job.edge.state.borrow();
+        state.suspects.standing(job.edge.now(), job.fingerprint)
+    };
+    log::info!(
+        request:% = job.request.envelope.id,
+        fingerprint:% = format_args!("{:016x}", job.fingerprint),
+        crashes = standing.crashes as u64,
+        consecutive = standing.consecutive as u64,
+        trials = standing.trials,
+        last_crash_age_ms = standing.age.map(millis);
+        "suspect_refused"
+    );
+}
+
+/// Reports the claim of a trial.
+pub(crate) fn trial_claimed(job: &Job, number: u32, result: ClaimResult) {
+    let standing = {
+        let state = job.edge.state.borrow();
+        state.suspects.standing(job.edge.now(), job.fingerprint)
+    };
+    log::warn!(
+        request:% = job.request.envelope.id,
+        fingerprint:% = format_args!("{:016x}", job.fingerprint),
+        number,
+        result:?,
+        crashes = standing.crashes as u64,
+        consecutive = standing.consecutive as u64,
+        last_crash_age_ms = standing.age.map(millis);
+        "suspect_trial"
+    );
+}
+
 /// Reports a request that was refused. No target ran it.
 pub(crate) fn refused(edge: &Edge, id: &CompactString, received: Moment, refusal: &Refusal) {
     edge.metrics.count_refused(refusal.name());
@@ -49,6 +82,9 @@
     is_late: bool,
 ) {
     job.is_end_reported.set(true);
+    if cause == CRASHES_TARGETS {
+        suspect_refused(job);
+    }
     let edge = &job.edge;
     edge.metrics.count_failed(cause);
     log::warn!(
@@ -71,7 +107,17 @@
     let edge = &job.edge;
     let took = edge.now().saturating_sub(job.request.received);
     edge.metrics.record_request_duration(took);
-    edge.state.borrow_mut().suspects.clear(job.fingerprint);
+    let now = edge.now();
+    let crashes = edge.state.borrow_mut().suspects.clear(now, job.fingerprint);
+    if crashes > 1 {
+        log::info!(
+            request:% = job.request.envelope.id,
+            fingerprint:% = format_args!("{:016x}", job.fingerprint),
+            crashes = crashes as u64;
+            "suspect_cleared"
+        );
+        edge.attempt_interrupted.notify_one();
+    }
     if !job.should_log() {
         return;
     }
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -1,6 +1,9 @@
 //! Runs one request: sends it, checks the answer, and retries if the route's retry policy allows
 //! that.
 
+use std::rc::Rc;
+use std::time::Duration;
+
 use lapismoor_core::admission::Refusal;
 use lapismoor_core::retry::NextStep;
 use lapismoor_core::routing::NoTarget;
@@ -11,10 +14,14 @@
 use super::job::Job;
 use super::report;
 use super::stream_forwarder::StreamForwarder;
+use crate::store::share_now;
 
 /// Longest answer that is buffered, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Cause of a request that is not sent again because it crashed targets.
+pub(crate) const CRASHES_TARGETS: &str = "crashes_targets";
+
 /// How a request ended.
 pub(crate) enum Outcome {
     /// An answer of a target that was read completely.
@@ -35,7 +42,18 @@
 }
 
 /// Runs a request up to its outcome, or up to the head of its stream.
-pub(crate) async fn run(mut job: Job) -> Outcome {
+pub(crate) async fn run(job: Job) -> Outcome {
+    let edge = Rc::clone(&job.edge);
+    let fingerprint = job.fingerprint;
+    let outcome = run_attempts(job).await;
+    if matches!(outcome, Outcome::Failed { .. }) {
+        // The caller may repeat the request at another daemon, which must know of its crashes.
+        share_now(&edge, fingerprint).await;
+    }
+    outcome
+}
+
+async fn run_attempts(mut job: Job) -> Outcome {
     if let Some(banned_for) = job.crash_ban() {
         return refuse(&job, Refusal::CrashesTargets { banned_for });
     }
@@ -44,6 +62,9 @@
     }
     let mut last_failure = None;
     loop {
+        if let Err(banned_for) = job.clear_to_send().await {
+            return refuse_suspect(&job, banned_for, last_failure);
+        }
         let choice = match job.choose_target() {
             Ok(choice) => choice,
             Err(reason) => return no_target(&job, &reason, last_failure),
@@ -92,6 +113,19 @@
     Outcome::Refused(refusal)
 }
 
+/// Ends a request that must not be sent again because it crashed targets, some of them perhaps in
+/// this request.
+fn refuse_suspect(
+    job: &Job,
+    banned_for: Duration,
+    last_failure: Option<BufferedAnswer>,
+) -> Outcome {
+    if job.progress.runs > 0 {
+        return give_up(job, &NextStep::FailUnknown, CRASHES_TARGETS, last_failure);
+    }
+    refuse(job, Refusal::CrashesTargets { banned_for })
+}
+
 fn no_target(job: &Job, reason: &NoTarget, last_failure: Option<BufferedAnswer>) -> Outcome {
     if job.progress.runs > 0 {
         return give_up(job, &NextStep::PassOn, "no_target", last_failure);
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -4,16 +4,15 @@
 use bytes::Bytes;
 use futures::Stream;
 use lapismoor_core::Moment;
-use lapismoor_core::retry::{AttemptEnd, NextStep};
+use lapismoor_core::retry::NextStep;
 use lapismoor_core::routing::Choice;
 use lapismoor_core::stream::EventSplitter;
 
-use super::attempt::{self, Answer, FailedAttempt};
+use super::attempt::{self, Answer, FailedAttempt, TARGET_SILENT};
 use super::job::Job;
 use super::report;
-
-/// Cause of a stream whose target sent nothing for longer than the timeout.
-const TARGET_SILENT: &str = "target_silent";
+use super::run::CRASHES_TARGETS;
+use crate::store::share_now;
 
 /// Forwards a stream from a target to a caller.
 pub(crate) struct StreamForwarder {
@@ -23,6 +22,8 @@
     splitter: EventSplitter,
     /// When the last event was forwarded; `None` before the first.
     forwarded_at: Option<Moment>,
+    /// Whether the current target has sent events.
+    has_events: bool,
 }
 
 enum Step {
@@ -39,6 +40,7 @@
             answer,
             splitter,
             forwarded_at: None,
+            has_events: false,
         }
     }
 
@@ -55,6 +57,7 @@
                     None
                 }
                 Err(cause) => {
+                    share_now(&forwarder.job.edge, forwarder.job.fingerprint).await;
                     report::stream_cut_off(&forwarder.job, cause, forwarder.splitter.last_id());
                     Some((Err(cause), None))
                 }
@@ -97,6 +100,7 @@
             let events = self.splitter.push(&bytes).map_err(|_| "event_too_large")?;
             if !events.is_empty() {
                 self.job.is_delivering = true;
+                self.has_events = true;
                 self.record_latency();
                 return Ok(Step::Events(events));
             }
@@ -120,20 +124,24 @@
     async fn resume(&mut self, cause: &'static str) -> Result<(), &'static str> {
         self.splitter.discard_partial_event();
         let mut failed = if cause == TARGET_SILENT {
-            FailedAttempt::new(AttemptEnd::Unknown, cause)
+            FailedAttempt::silent()
         } else {
             FailedAttempt::connection_lost(cause)
         };
+        failed.had_answer = self.has_events;
         loop {
             let step = self.job.next_step(self.choice.target, &failed);
             report::attempt_failed(&self.job, &self.choice, &failed, &step);
             if step != NextStep::Retry {
                 return Err(cause);
             }
+            let clear = self.job.clear_to_send().await;
+            clear.map_err(|_| CRASHES_TARGETS)?;
             self.choice = self.job.choose_target().map_err(|_| cause)?;
             match attempt::run(&self.job, &self.choice, self.splitter.last_id()).await {
                 Ok(answer) if answer.head.status.is_success() => {
                     self.answer = answer;
+                    self.has_events = false;
                     return Ok(());
                 }
                 Ok(_) => return Err("resume_refused"),
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -24,7 +24,7 @@
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
 use crate::status::Status;
-use crate::store::{StoreClient, announce, follow, mirror_source};
+use crate::store::{StoreClient, announce, follow, mirror_source, share_suspects};
 
 /// Interval between removals of expired entries and idle connections.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
@@ -106,6 +106,7 @@
     };
     rt::spawn(follow(Rc::clone(&edge), store.clone()));
     rt::spawn(announce(Rc::clone(&edge), store, record));
+    rt::spawn(share_suspects(Rc::clone(&edge)));
     rt::spawn(run_housekeeping(Rc::clone(&edge)));
     log::info!(
         caller_address:% = edge.settings.caller_address,
@@ -208,7 +209,19 @@
         let now = edge.now();
         edge.connections.close_expired(now);
         edge.state.borrow_mut().ledger.sweep(now);
-        let expired = edge.state.borrow_mut().directory.sweep(now);
+        let expired = {
+            let mut state = edge.state.borrow_mut();
+            let state = &mut *state;
+            let confirmed_at = state.freshness.confirmed_at();
+            let stable_since = state.store_stable_since;
+            let directory = &state.directory;
+            state
+                .suspects
+                .settle(now, confirmed_at, stable_since, |target| {
+                    directory.is_listed(target)
+                });
+            state.directory.sweep(now)
+        };
         for id in expired {
             log::info!(target:% = id; "target_given_up");
         }
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -27,7 +27,11 @@
                 log::warn!(target:% = id, reason:%; "target_entry_unreadable");
             }
         }
-        StoreUpdate::Suspicion(suspect) => edge.state.borrow_mut().suspects.merge(now, &suspect),
+        StoreUpdate::Evidence { key, evidence } => edge.merge_evidence(&key, &evidence),
+        StoreUpdate::UnreadableEvidence { key, reason } => {
+            log::warn!(key:%, reason:%; "suspects_unreadable");
+        }
+        StoreUpdate::Trial(trial) => edge.state.borrow_mut().suspects.record_trial(now, trial),
         StoreUpdate::Daemon(record) => apply_daemon(edge, record, is_first_list),
         StoreUpdate::DaemonGone { id } => {
             log::info!(peer:% = id; "daemon_gone");
@@ -41,10 +45,10 @@
             let Some(target) = state.directory.remove(now, &id) else {
                 return;
             };
-            let (key, standing) = (target.key, target.standing);
+            let (incarnation, standing) = (target.entry.incarnation(), target.standing);
             log::info!(target:% = id, standing:? = standing; "target_gone");
             drop(state);
-            edge.target_crashed(key);
+            edge.target_crashed(&incarnation);
         }
     }
 }
@@ -82,7 +86,10 @@
 fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry, is_first_list: bool) {
     let mut state = edge.state.borrow_mut();
     let id = entry.id.clone();
-    let previous_key = state.directory.find(&id).map(|target| target.key);
+    let previous = state
+        .directory
+        .find(&id)
+        .map(|target| target.entry.incarnation());
     let change = state.directory.apply(now, entry);
     if change == DirectoryChange::Same || is_first_list {
         return;
@@ -90,9 +97,9 @@
     drop(state);
     log::info!(target:% = id, change:?; "target_listed");
     if change == DirectoryChange::Restarted
-        && let Some(crashed) = previous_key
+        && let Some(crashed) = previous
     {
-        edge.target_crashed(crashed);
+        edge.target_crashed(&crashed);
     }
 }
 
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -200,6 +200,9 @@
         let outage = gap.saturating_sub(max_healthy_age(edge));
         state.freshness.confirm(answer.known_at.min(now));
         state.directory.store_recovered(now, outage);
+        if !outage.is_zero() {
+            state.store_stable_since = now;
+        }
         state.has_loaded_targets = true;
         let items = if self.revision.is_none() {
             let listed = state.mirror.replace(answer.items, answer.revision);
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -3,17 +3,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_web::rt;
 use futures::FutureExt;
 use lapismoor_core::Moment;
 use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::membership::StoreItem;
 use lapismoor_mirror::{MirrorAnswer, MirrorSource};
 
+use super::suspects::hand_over;
+use super::update::StoreUpdate;
 use crate::context::Edge;
 
 /// Returns the handlers for list and watch requests of other daemons.
 pub(crate) fn mirror_source(edge: &Rc<Edge>) -> MirrorSource {
     let for_list = Rc::clone(edge);
     let for_watch = Rc::clone(edge);
+    let for_report = Rc::clone(edge);
     MirrorSource {
         list: Rc::new(move || {
             let edge = Rc::clone(&for_list);
@@ -23,6 +28,18 @@
             let edge = Rc::clone(&for_watch);
             async move { watch(&edge, after, wait).await }.boxed_local()
         }),
+        report: Rc::new(move |records| take_report(&for_report, records)),
+    }
+}
+
+/// Applies what another daemon saw of interrupted requests before the store lists it; other records
+/// are ignored.
+fn take_report(edge: &Rc<Edge>, records: Vec<StoreItem>) {
+    for record in records {
+        if let Some(StoreUpdate::Evidence { key, evidence }) = (edge.store.decode)(&record) {
+            edge.merge_evidence(&key, &evidence);
+            rt::spawn(hand_over(Rc::clone(edge), record));
+        }
     }
 }
 
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -6,12 +6,17 @@
 mod client;
 mod follow;
 mod mirror_source;
+pub(crate) mod records;
 mod source_client;
-pub(crate) mod suspects;
+mod suspects;
+pub(crate) mod trials;
 mod update;
 
 pub(crate) use announce::announce;
 pub use client::{Changes, StoreCall, StoreClient, StoreError};
 pub(crate) use follow::follow;
 pub(crate) use mirror_source::mirror_source;
+pub use records::RecordLease;
+pub(crate) use suspects::{share_now, share_suspects};
+pub(crate) use trials::ClaimResult;
 pub use update::StoreUpdate;
--- a/crates/edge/src/store/update.rs
+++ b/crates/edge/src/store/update.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use lapismoor_core::admission::Suspicion;
+use lapismoor_core::admission::{Evidence, TrialRecord};
 use lapismoor_core::config::Accepted;
 use lapismoor_core::ids::{DaemonId, TargetId};
 use lapismoor_core::membership::{DaemonRecord, TargetEntry};
@@ -32,8 +32,22 @@
         /// Field that could not be decoded, and why.
         reason: CompactString,
     },
-    /// A request is suspected of crashing targets.
-    Suspicion(Suspicion),
+    /// What another daemon saw of interrupted requests.
+    Evidence {
+        /// Key in the store.
+        key: CompactString,
+        /// Content of the record.
+        evidence: Evidence,
+    },
+    /// A record about interrupted requests that could not be decoded.
+    UnreadableEvidence {
+        /// Key in the store.
+        key: CompactString,
+        /// Why it could not be decoded.
+        reason: CompactString,
+    },
+    /// A daemon claimed a trial of a request.
+    Trial(TrialRecord),
     /// A daemon was announced.
     Daemon(DaemonRecord),
     /// A daemon's announcement expired or was removed.
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -7,6 +7,9 @@
 
   watch @1 (after :UInt64, waitMs :UInt32) -> (answer :Answer);
   # Changes after a position, as soon as there are any, or none after the wait.
+
+  report @2 (items :List(Item)) -> ();
+  # Records of the caller that are not in the platform's store yet.
 }
 
 struct Answer {
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
@@ -13,6 +12,7 @@
 
 use crate::MirrorAnswer;
 use crate::counted::{ByteCounter, CountedStream};
+use crate::items::{read_items, write_items};
 use crate::mirror_capnp::{answer, store_mirror};
 
 /// Timeout for a new connection; daemons that serve each other are in one region.
@@ -119,28 +119,27 @@
         let results = response.get().context(CallSnafu)?;
         read_answer(results.get_answer().context(CallSnafu)?)
     }
+
+    /// Reports records that may not be in the store yet.
+    ///
+    /// # Errors
+    /// [`MirrorError::Call`] if the call fails.
+    pub async fn report(&self, records: &[StoreItem]) -> Result<(), MirrorError> {
+        let mut call = self.mirror.report_request();
+        let count = u32::try_from(records.len()).unwrap_or(u32::MAX);
+        write_items(records, call.get().init_items(count));
+        call.send().promise.await.context(CallSnafu)?;
+        Ok(())
+    }
 }
 
 fn read_answer(answer: answer::Reader<'_>) -> Result<MirrorAnswer, MirrorError> {
     if !answer.get_is_known() {
         return HistoryUnavailableSnafu.fail();
     }
-    let mut items = Vec::new();
-    for item in answer.get_items().context(CallSnafu)? {
-        let key = item.get_key().context(CallSnafu)?;
-        let key = key
-            .to_str()
-            .map_err(capnp::Error::from)
-            .context(CallSnafu)?;
-        let value = item.get_value().context(CallSnafu)?;
-        let is_removed = item.get_is_removed();
-        items.push(StoreItem {
-            key: key.into(),
-            value: (!is_removed).then(|| Bytes::copy_from_slice(value)),
-        });
-    }
+    let items = answer.get_items().context(CallSnafu)?;
     Ok(MirrorAnswer {
-        items,
+        items: read_items(items).context(CallSnafu)?,
         revision: answer.get_revision(),
         age: Duration::from_millis(answer.get_age_ms()),
         held: Duration::from_millis(answer.get_held_ms()),
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod counted;
+mod items;
 mod server;
 
 /// Code generated from `schema/mirror.capnp`.
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -6,11 +6,13 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::future::LocalBoxFuture;
 use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::membership::StoreItem;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
 use crate::MirrorAnswer;
 use crate::counted::{ByteCounter, CountedStream};
+use crate::items::{read_items, write_items};
 use crate::mirror_capnp::{answer, store_mirror};
 
 /// Delay after a failed accept, so that file descriptors can become free.
@@ -26,6 +28,8 @@
     pub list: Rc<dyn Fn() -> AnswerFuture>,
     /// Returns the changes after a revision; waits up to the given time for some.
     pub watch: Rc<dyn Fn(StoreRevision, Duration) -> AnswerFuture>,
+    /// Takes records of another daemon that may not be in the store yet.
+    pub report: Rc<dyn Fn(Vec<StoreItem>)>,
 }
 
 /// Accepts connections from other daemons forever and adds the bytes exchanged to `counter`. Must
@@ -90,8 +94,26 @@
         let answer = (self.source.watch)(request.get_after(), wait).await;
         write_answer(answer, results.get().init_answer())
     }
+
+    async fn report(
+        self: Rc<Self>,
+        params: store_mirror::ReportParams,
+        _: store_mirror::ReportResults,
+    ) -> capnp::Result<()> {
+        let items = params.get()?.get_items()?;
+        if items.len() > MAX_REPORTED {
+            return Err(capnp::Error::failed(
+                "too many records in one report".into(),
+            ));
+        }
+        (self.source.report)(read_items(items)?);
+        Ok(())
+    }
 }
 
+/// Longest list of reported records; a daemon reports one at a time.
+const MAX_REPORTED: u32 = 64;
+
 fn write_answer(answer: Option<MirrorAnswer>, mut out: answer::Builder<'_>) -> capnp::Result<()> {
     let Some(answer) = answer else {
         return Ok(());
@@ -102,15 +124,7 @@
     out.set_revision(answer.revision);
     out.set_age_ms(millis(answer.age) + 1);
     out.set_held_ms(millis(answer.held));
-    let mut items = out.init_items(count);
-    for (position, item) in (0..count).zip(&answer.items) {
-        let mut entry = items.reborrow().get(position);
-        entry.set_key(item.key.as_str());
-        match &item.value {
-            Some(value) => entry.set_value(value),
-            None => entry.set_is_removed(true),
-        }
-    }
+    write_items(&answer.items, out.init_items(count));
     Ok(())
 }
 
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -1,5 +1,6 @@
 //! Client and server of the mirror protocol, over a TCP connection on loopback.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,9 +33,15 @@
     MirrorSource {
         list: Rc::new(|| async { Some(answer()) }.boxed_local()),
         watch: Rc::new(|after, _| async move { (after >= 3).then(answer) }.boxed_local()),
+        report: Rc::new(|records| REPORTED.with_borrow_mut(|reported| reported.extend(records))),
     }
 }
 
+thread_local! {
+    /// Records that the source was told of.
+    static REPORTED: RefCell<Vec<StoreItem>> = const { RefCell::new(Vec::new()) };
+}
+
 async fn connected_client() -> MirrorClient {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
@@ -65,6 +72,22 @@
         .await;
 }
 
+/// Evidence that the store does not take reaches other daemons directly.
+#[tokio::test]
+async fn reported_records_arrive_unchanged() {
+    LocalSet::new()
+        .run_until(async {
+            let client = connected_client().await;
+            let records = answer().items;
+            client.report(&records).await.expect("the call succeeds");
+            assert_eq!(REPORTED.take(), records);
+            let too_many = vec![records[0].clone(); 65];
+            assert!(client.report(&too_many).await.is_err());
+            assert_eq!(REPORTED.take(), Vec::new());
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn missing_history_is_distinguished_from_a_failed_call() {
     LocalSet::new()
