Send a request that ends engines in the soak and the demo

Cause: neither had such a request among its faults, so both passed while the promise was broken. Engines that it ends start again. The demo sends one to each daemon in turn. Checked: at most three runs later than 3 s after the third, except by a daemon whose process was killed, stopped or suspended shortly before; and no refusal as not run for a request that an engine began to run.

--- a/crates/demo/src/scenario.rs
+++ b/crates/demo/src/scenario.rs
@@ -1,15 +1,18 @@
 //! Runs the demo: sends load, injects faults on a schedule and checks the results.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use lapismoor_adapter_standin::Faults;
 use lapismoor_core::config::Config;
 use nix::sys::signal::Signal;
+use tokio::task::JoinHandle;
 
 use crate::caller::Balancer;
 use crate::checker::{self, OutcomeCounts, TargetRecords};
+use crate::crashing::{self, CrashingAnswer, Identity};
 use crate::fleet::Fleet;
 use crate::fleet_client;
 use crate::fleet_size::FleetSize;
@@ -67,6 +70,12 @@
     config_propagation: Option<Duration>,
 }
 
+/// Text that identifies the request that ends engines in their records.
+const CRASHING_MARKER: &str = "crashing";
+/// Number of times that it is sent.
+const CRASHING_REPEATS: usize = 12;
+/// Time between two repeats.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(1_900);
 /// Index of the engine that is killed.
 const KILLED_ENGINE: usize = 1;
 /// Index of the engine that is drained.
@@ -96,6 +105,10 @@
     let before = control_bytes(fleet).await;
     let start = Instant::now();
     let load = LoadGenerator::start(plan, &balancer);
+    let mut crashing = with_faults.then(|| {
+        let addresses = fleet.caller_addresses();
+        actix::spawn(repeat_crashing_request(addresses))
+    });
     let mut run = Run {
         fleet,
         config,
@@ -111,8 +124,11 @@
         Vec::new()
     };
     let mut next_progress_s = 0;
-    while !load.is_done() || !pending_faults.is_empty() {
+    let is_crashing =
+        |task: &Option<JoinHandle<_>>| task.as_ref().is_some_and(|task| !task.is_finished());
+    while !load.is_done() || !pending_faults.is_empty() || is_crashing(&crashing) {
         tokio::time::sleep(Duration::from_millis(100)).await;
+        run.restart_crashed_engines()?;
         run.update_balancer().await;
         let now = start.elapsed();
         while pending_faults
@@ -133,6 +149,10 @@
         }
     }
     let reports = load.finish().await;
+    if let Some(task) = crashing.take() {
+        let answers = task.await.map_err(io::Error::other)?;
+        run.check_crashing_request(&answers)?;
+    }
     let elapsed = start.elapsed();
     let after = control_bytes(run.fleet).await;
     let control_rates = control_rates(&before, &after, elapsed);
@@ -234,6 +254,37 @@
         Ok(())
     }
 
+    /// Starts the engines again that the crashing request ended.
+    fn restart_crashed_engines(&mut self) -> io::Result<()> {
+        for index in 0..self.fleet.engines.len() {
+            let has_crashed = self.fleet.engines[index].process.has_ended();
+            if has_crashed && self.gone_at_ms[index].is_none() {
+                self.fleet.restart_engine(index)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks how many engines the crashing request reached, and what its caller was told.
+    fn check_crashing_request(&mut self, answers: &[CrashingAnswer]) -> io::Result<()> {
+        let runs = crashing::runs(self.fleet, CRASHING_MARKER)?;
+        let late = crashing::late_runs(&runs);
+        println!(
+            "the request that ends engines reached {} of them, {late} later than 3 s after the third",
+            runs.len()
+        );
+        if late > crashing::MAX_LATE_RUNS {
+            let text = format!("a request that ends engines reached {late} of them too late");
+            self.violations.push(text);
+        }
+        let false_refusals = crashing::false_refusals(answers, &runs).len();
+        if false_refusals > 0 {
+            let text = format!("{false_refusals} refusals as not run were wrong");
+            self.violations.push(text);
+        }
+        Ok(())
+    }
+
     /// Kills a daemon and starts an additional one.
     fn kill_daemon(&mut self, size: &FleetSize) -> io::Result<()> {
         self.fleet.daemons[KILLED_DAEMON].process.kill();
@@ -333,6 +384,17 @@
     }
 }
 
+/// Sends a request that ends engines to one daemon after the other.
+async fn repeat_crashing_request(daemons: Vec<SocketAddr>) -> Vec<CrashingAnswer> {
+    let mut answers = Vec::new();
+    for number in 0..CRASHING_REPEATS {
+        let daemon = daemons[number % daemons.len()];
+        answers.push(crashing::send(daemon, CRASHING_MARKER, Identity::None).await);
+        tokio::time::sleep(CRASHING_INTERVAL).await;
+    }
+    answers
+}
+
 /// Number of requests without a complete response, by the last error kind.
 fn error_kind_counts(reports: &LoadReports) -> Vec<(String, usize)> {
     let mut counts: Vec<(String, usize)> = Vec::new();
--- /dev/null
+++ b/crates/soak/src/processes/crashing.rs
@@ -0,0 +1,86 @@
+//! Repeats a request that ends its engines during a run, and checks how many it ended.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use demo::crashing::{self, CrashingAnswer, Identity, MAX_LATE_RUNS};
+use demo::fleet::Fleet;
+
+use super::plan::{CrashingSend, Fault, FaultStep};
+
+/// Text that identifies the request in the records of the engines.
+const MARKER: &str = "soak-crashing";
+/// Time after a fault of a daemon's process in which the users' rule does not hold for it.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// One repeat and its answer.
+pub(super) struct Sent {
+    send: CrashingSend,
+    answer: CrashingAnswer,
+}
+
+/// Sends all repeats at their times, without waiting for the answers of earlier ones.
+pub(super) async fn send_all(
+    start: Instant,
+    sends: Vec<CrashingSend>,
+    addresses: Vec<SocketAddr>,
+) -> Vec<Sent> {
+    let sending = sends.into_iter().map(|send| {
+        let address = addresses[send.daemon];
+        async move {
+            tokio::time::sleep_until((start + send.at).into()).await;
+            let identity = if send.has_key {
+                Identity::NewKey
+            } else {
+                Identity::None
+            };
+            let answer = crashing::send(address, MARKER, identity).await;
+            Sent { send, answer }
+        }
+    });
+    futures::future::join_all(sending).await
+}
+
+/// Returns the guarantees that the requests violated.
+pub(super) fn verify(fleet: &Fleet, sent: &[Sent], steps: &[FaultStep]) -> io::Result<Vec<String>> {
+    let mut runs = crashing::runs(fleet, MARKER)?;
+    let answers: Vec<CrashingAnswer> = sent.iter().map(|sent| sent.answer.clone()).collect();
+    let false_refusals = crashing::false_refusals(&answers, &runs);
+    let mut violations: Vec<String> = false_refusals
+        .iter()
+        .map(|answer| format!("reported as not run, but an engine began to run it: {answer:?}"))
+        .collect();
+    let third_ms = runs.get(2).map(|run| run.time_ms);
+    runs.retain(|run| {
+        let is_early = third_ms.is_some_and(|third_ms| run.time_ms <= third_ms);
+        is_early || !is_excused(&run.attempt, sent, steps)
+    });
+    let late = crashing::late_runs(&runs);
+    if late > MAX_LATE_RUNS {
+        let times: Vec<u64> = runs.iter().map(|run| run.time_ms).collect();
+        violations.push(format!(
+            "a request that ends engines reached {late} engines too late, at {times:?}"
+        ));
+    }
+    Ok(violations)
+}
+
+/// Whether an attempt was sent by a daemon whose own process was killed, stopped or suspended
+/// shortly before: the users' rule does not hold for it.
+fn is_excused(attempt: &str, sent: &[Sent], steps: &[FaultStep]) -> bool {
+    let is_own = |sent: &&Sent| attempt.starts_with(&sent.answer.request_id);
+    let Some(sent) = sent.iter().find(is_own) else {
+        return false;
+    };
+    steps.iter().any(|step| {
+        let is_daemon = match step.fault {
+            Fault::KillDaemon(daemon)
+            | Fault::StopDaemon { daemon, .. }
+            | Fault::PauseDaemon(daemon) => daemon == sent.send.daemon,
+            _ => false,
+        };
+        let until = step.at + step.duration + CONTACT_TIME;
+        is_daemon && (step.at..until).contains(&sent.send.at)
+    })
+}
--- a/crates/soak/src/processes/mod.rs
+++ b/crates/soak/src/processes/mod.rs
@@ -3,6 +3,7 @@
 //! The guarantees are checked against the reports of callers and the records of targets. The same
 //! seed injects the same faults at the same times, but the processes' reactions vary between runs.
 
+mod crashing;
 mod injector;
 mod plan;
 mod proxy;
--- a/crates/soak/src/processes/plan.rs
+++ b/crates/soak/src/processes/plan.rs
@@ -11,6 +11,10 @@
 pub const FAULT_PERIOD: Duration = Duration::from_secs(12);
 /// Number of faults in a run.
 const FAULT_COUNT: std::ops::RangeInclusive<usize> = 6..=10;
+/// Time for which the crashing request is repeated after the last fault began.
+const CRASHING_TAIL: Duration = Duration::from_secs(8);
+/// Time between its repeats.
+const CRASHING_PAUSE_MS: std::ops::RangeInclusive<u64> = 200..=4_500;
 /// Duration of a fault.
 const FAULT_DURATION_MS: std::ops::RangeInclusive<u64> = 500..=8_000;
 
@@ -69,11 +73,24 @@
     pub fault: Fault,
 }
 
+/// When a request that ends its engines is sent, and to which daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashingSend {
+    /// Time from the start of the run.
+    pub at: Duration,
+    /// Index of the daemon.
+    pub daemon: usize,
+    /// Whether it has a new idempotency key, so that one engine at most runs it.
+    pub has_key: bool,
+}
+
 /// The faults of a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FaultPlan {
     /// Invariant: sorted by start.
     pub steps: Vec<FaultStep>,
+    /// Repeats of one request that ends every engine that runs it. Invariant: sorted by time.
+    pub crashing: Vec<CrashingSend>,
 }
 
 impl FaultPlan {
@@ -90,8 +107,27 @@
             })
             .collect();
         steps.sort_by_key(|step| step.at);
-        Self { steps }
+        let crashing = crashing_sends(&mut rng, counts);
+        Self { steps, crashing }
+    }
+}
+
+/// Draws the repeats after the other faults, which stay the same for each seed that ever failed.
+fn crashing_sends(rng: &mut impl Rng, counts: &ProcessCounts) -> Vec<CrashingSend> {
+    let mut sends = Vec::new();
+    let mut at = FAULT_PERIOD.mul_f64(rng.random::<f64>() / 2.0);
+    while at < FAULT_PERIOD + CRASHING_TAIL {
+        // Several daemons may get it at once.
+        for _ in 0..rng.random_range(1..=2) {
+            sends.push(CrashingSend {
+                at,
+                daemon: rng.random_range(0..counts.daemons),
+                has_key: rng.random_range(0..3) == 0,
+            });
+        }
+        at += Duration::from_millis(rng.random_range(CRASHING_PAUSE_MS));
     }
+    sends
 }
 
 fn random_fault(rng: &mut impl Rng, counts: &ProcessCounts, proxies: usize) -> Fault {
--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -4,16 +4,18 @@
 use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use actix_web::rt::task::JoinHandle;
 use demo::caller::{Balancer, CallerOptions};
+use demo::crashing::restart_ended_engines;
 use demo::fleet::Fleet;
 use demo::fleet_size::FleetSize;
 use demo::load::{LoadGenerator, LoadPlan};
 use lapismoor_core::config::Config;
 
-use super::injector;
-use super::plan::{FAULT_PERIOD, FaultPlan};
+use super::plan::{FAULT_PERIOD, Fault, FaultPlan};
 use super::proxy::Proxies;
 use super::verify::verify;
+use super::{crashing, injector};
 
 /// Time between checks for faults to inject or remove.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -79,8 +81,15 @@
     let balancer = Balancer::new(fleet.caller_addresses());
     let run_start_unix_ms = unix_now_ms();
     let load = LoadGenerator::start(&load_plan(config, &fleet_size, seed), &balancer);
+    let crashing = actix_web::rt::spawn(crashing::send_all(
+        Instant::now(),
+        plan.crashing.clone(),
+        fleet.caller_addresses(),
+    ));
     let mut violations = inject_faults(&mut fleet, &proxies, config, &plan).await?;
+    let crashing = wait_for_crashing(&mut fleet, crashing).await?;
     let reports = load.finish().await;
+    violations.extend(crashing::verify(&fleet, &crashing, &plan.steps)?);
     violations.extend(verify(&fleet, &reports, &plan.steps, run_start_unix_ms)?);
     violations.extend(check_recovery(&fleet, &balancer, &fleet_size, config).await);
     Ok(Outcome {
@@ -90,6 +99,20 @@
     })
 }
 
+/// Waits for the answers to the request that ends engines, and starts these again meanwhile.
+async fn wait_for_crashing(
+    fleet: &mut Fleet,
+    crashing: JoinHandle<Vec<crashing::Sent>>,
+) -> io::Result<Vec<crashing::Sent>> {
+    while !crashing.is_finished() {
+        restart_ended_engines(fleet)?;
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    restart_ended_engines(fleet)?;
+    fleet.wait_until_ready().await?;
+    crashing.await.map_err(io::Error::other)
+}
+
 async fn inject_faults(
     fleet: &mut Fleet,
     proxies: &Proxies,
@@ -111,6 +134,13 @@
         {
             injector::remove(fleet, proxies, &fault_end).await?;
         }
+        // Engines that the crashing request ended; those of a fault return with its end.
+        let is_killed = fault_ends
+            .iter()
+            .any(|fault_end| matches!(fault_end.fault, Fault::KillEngine(_)));
+        if !is_killed {
+            restart_ended_engines(fleet)?;
+        }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     injector::restore_all(fleet, proxies).await?;
