Leave room for the retries of a daemon's previous incarnation

Seen in a test: the daemons of a fleet use their retry budget, are killed and start again while attempts still fail; 294 retries in one window where 202 are allowed (7 daemons), 3,060 where 2,050 are (90).

The fleet's budget is kept by each daemon's own window, and the window is lost with the daemon.

Change: a daemon that finds itself still announced by another incarnation uses in its first window only the quarter of the allowance that its predecessor must have left. A daemon without a predecessor, such as one that is started for the first time, is not restricted.

Why it works: 0.75 of the allowance by the predecessor and 0.25 by the successor fit into one window. Test: retries_of_restarted_daemons_stay_within_the_budget, failing without follow_predecessor.

--- a/crates/core/src/retry/retry_budget.rs
+++ b/crates/core/src/retry/retry_budget.rs
@@ -1,5 +1,6 @@
 //! Retry budget of one daemon for one service. It keeps the retries of the whole fleet within a
-//! ratio of the requests, without coordination: each daemon limits itself by its own traffic.
+//! ratio of the requests, without coordination: each daemon limits itself by its own traffic. The
+//! window of a daemon is lost when it is killed.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -23,10 +24,18 @@
     }
 }
 
+/// Share that a daemon uses in its first window if it replaces one that was killed or stopped within
+/// that time. Its predecessor may have used its own share in the same window.
+const RESTARTED_RATIO_SHARE: f64 = 1.0 - USED_RATIO_SHARE;
+
 /// Sliding window over the requests and retries of one service.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
+    /// End of the first window of a daemon with a predecessor, whose retries are not known.
+    restricted_until: Option<Moment>,
+    /// Time of the last update.
+    updated_at: Moment,
     /// Times of requests. Invariant: ascending; expired ones are evicted on each update.
     requests: VecDeque<Moment>,
     /// Times of retries. Invariant: as for `requests`.
@@ -39,11 +48,18 @@
     pub fn new(settings: RetryBudgetSettings) -> Self {
         Self {
             settings,
+            restricted_until: None,
+            updated_at: Moment::ZERO,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
         }
     }
 
+    /// Leaves room for the retries of the daemon's predecessor, which ended before `started_at`.
+    pub fn follow_predecessor(&mut self, started_at: Moment) {
+        self.restricted_until = Some(started_at + self.settings.window);
+    }
+
     /// Counts a request of a caller to the service; retries are not counted here.
     pub fn count_request(&mut self, now: Moment) {
         self.evict_expired(now);
@@ -76,10 +92,19 @@
         let ratio = f64::from(self.settings.ratio_percent) / 100.0;
         let earned = ratio * self.requests.len() as f64;
         let slack = share.of(self.settings.fleet_slack);
-        (USED_RATIO_SHARE * (earned + slack)) as usize
+        let is_restricted = self
+            .restricted_until
+            .is_some_and(|until| self.updated_at < until);
+        let used_share = if is_restricted {
+            RESTARTED_RATIO_SHARE
+        } else {
+            USED_RATIO_SHARE
+        };
+        (used_share * (earned + slack)) as usize
     }
 
     fn evict_expired(&mut self, now: Moment) {
+        self.updated_at = now;
         let window = self.settings.window;
         for times in [&mut self.requests, &mut self.retries] {
             while times
--- a/crates/core/tests/fleet_limits.rs
+++ b/crates/core/tests/fleet_limits.rs
@@ -90,3 +90,45 @@
     assert!(!budget.take_retry(Duration::from_secs(10), &share));
     assert!(budget.take_retry(Duration::from_millis(10_001), &share));
 }
+
+/// All daemons are killed just after each has used its budget, and start again while every attempt
+/// still fails. The retries of both incarnations must fit into one window of the fleet's budget.
+#[test_case(7, 75)]
+#[test_case(90, 1_000)]
+fn retries_of_restarted_daemons_stay_within_the_budget(daemons: u32, requests_per_s: u32) {
+    let requests = requests_per_s * 10 / daemons;
+    let interval = Duration::from_secs(10) / requests;
+    let share = share_of(daemons, 3_000);
+    let mut before = RetryBudget::new(settings());
+    for index in 0..requests {
+        before.count_request(interval * index);
+    }
+    let killed_at = Duration::from_secs(10);
+    let mut retries = 0;
+    while before.take_retry(killed_at, &share) {
+        retries += 1;
+    }
+    let mut after = RetryBudget::new(settings());
+    after.follow_predecessor(killed_at);
+    for index in 0..requests {
+        let now = killed_at + interval * index;
+        after.count_request(now);
+        while after.take_retry(now, &share) {
+            retries += 1;
+        }
+    }
+    let allowed = f64::from(requests * daemons) * 0.2 + 52.0;
+    let actual = f64::from(retries * daemons);
+    assert!(actual <= allowed, "{actual} retries, {allowed} allowed");
+    // The restriction ends with the window.
+    let later = killed_at + Duration::from_secs(20);
+    for index in 0..requests {
+        after.count_request(later + interval * index);
+    }
+    let end = later + Duration::from_secs(10);
+    let mut retries = 0;
+    while after.take_retry(end, &share) {
+        retries += 1;
+    }
+    assert!(f64::from(retries * daemons) >= allowed * 0.5);
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -36,6 +36,8 @@
 pub struct Edge {
     /// Settings from the start of the daemon; they don't change.
     pub settings: EdgeSettings,
+    /// When the daemon started.
+    started_at: Moment,
     /// Monotonic clock that also counts time in which the VM is suspended.
     pub clock: Clock,
     /// Translates headers of callers and targets.
@@ -105,6 +107,8 @@
     pub store_stable_since: Moment,
     /// This daemon's share of the fleet's traffic.
     pub traffic_share: TrafficShare,
+    /// When this daemon started, if it replaces one that ran shortly before.
+    follows_predecessor_since: Option<Moment>,
     /// Invariant: sorted by service.
     retry_budgets: Vec<(ServiceId, RetryBudget)>,
 }
@@ -156,11 +160,13 @@
             freshness: Freshness::new(settings.limits.revoke_within),
             store_stable_since: Moment::ZERO,
             traffic_share: TrafficShare::default(),
+            follows_predecessor_since: None,
             retry_budgets: Vec::new(),
         };
         let connections = ConnectionPool::new(settings.tuning.target_idle_timeout);
         Rc::new(Self {
             settings,
+            started_at: clock.now(),
             clock,
             dialect,
             state: RefCell::new(state),
@@ -315,6 +321,20 @@
         })
     }
 
+    /// Records that another incarnation of this daemon is still announced. Its retries count in the
+    /// fleet's budget, and are not known here.
+    pub(crate) fn found_predecessor(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.follows_predecessor_since.is_some() {
+            return;
+        }
+        log::info!("predecessor_found");
+        state.follows_predecessor_since = Some(self.started_at);
+        for (_, budget) in &mut state.retry_budgets {
+            budget.follow_predecessor(self.started_at);
+        }
+    }
+
     /// Records an answer of a target for its health.
     pub fn target_answered(&self, target: TargetKey, is_failure: bool) {
         let now = self.now();
@@ -426,10 +446,15 @@
         service: &ServiceId,
         change: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let retry_budgets = &mut self.state.borrow_mut().retry_budgets;
+        let mut state = self.state.borrow_mut();
+        let predecessor = state.follows_predecessor_since;
+        let retry_budgets = &mut state.retry_budgets;
         let found = retry_budgets.binary_search_by(|(known, _)| known.cmp(service));
         let position = found.unwrap_or_else(|position| {
-            let budget = RetryBudget::new(self.settings.limits.budget.clone());
+            let mut budget = RetryBudget::new(self.settings.limits.budget.clone());
+            if let Some(started_at) = predecessor {
+                budget.follow_predecessor(started_at);
+            }
             retry_budgets.insert(position, (service.clone(), budget));
             position
         });
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -104,6 +104,9 @@
 }
 
 fn apply_daemon(edge: &Edge, record: DaemonRecord, is_first_list: bool) {
+    if record.id == edge.settings.daemon && record.incarnation != edge.incarnation() {
+        edge.found_predecessor();
+    }
     let daemons = &mut edge.state.borrow_mut().daemons;
     match daemons.binary_search_by(|known| known.id.cmp(&record.id)) {
         Ok(position) => daemons[position] = record,
