Bound the log lines and withdrawals of shared evidence

Received and confirmed evidence is logged from the third interruption on, where it changes what the daemon decides; the oldest withdrawal makes room for a new one.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -521,12 +521,14 @@
         if is_to_share {
             self.unshared_withdrawals.push(withdrawal.clone());
         }
+        if self.withdrawn.len() >= MAX_RECORDS
+            && let Some(oldest) = (0..MAX_RECORDS).min_by_key(|at| self.withdrawn[*at].1)
+        {
+            self.withdrawn.remove(oldest);
+        }
         match self.withdrawn_position(&withdrawal) {
             Ok(position) => self.withdrawn[position].1 = now,
-            Err(position) if self.withdrawn.len() < MAX_RECORDS => {
-                self.withdrawn.insert(position, (withdrawal, now));
-            }
-            Err(_) => {}
+            Err(position) => self.withdrawn.insert(position, (withdrawal, now)),
         }
     }
 
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use lapismoor_core::admission::suspects::CRASHES_ALLOWED;
 use lapismoor_core::admission::{Evidence, StopPlan, Suspects, Workspaces};
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey};
@@ -385,7 +386,7 @@
         let now = self.now();
         let interrupted = self.state.borrow_mut().suspects.record_crash(now, target);
         for fingerprint in interrupted {
-            self.log_suspect(fingerprint, &target.id, "confirmed");
+            self.log_suspect(fingerprint, &target.id, "confirmed", CRASHES_ALLOWED);
         }
     }
 
@@ -416,19 +417,30 @@
         }
         for shared in &evidence.interrupted {
             if changed.contains(&shared.fingerprint) {
-                self.log_suspect(shared.fingerprint, &shared.target.id, "received");
+                self.log_suspect(
+                    shared.fingerprint,
+                    &shared.target.id,
+                    "received",
+                    CRASHES_ALLOWED,
+                );
             }
         }
     }
 
-    /// Logs new evidence against a request that was interrupted at more than one target. Single
-    /// interruptions are in the lines of their attempts.
-    pub fn log_suspect(&self, fingerprint: Fingerprint, target: &TargetId, evidence: &str) {
+    /// Logs new evidence against a request that was interrupted at least `from_crashes` times. A
+    /// target's crash interrupts many requests once, which their attempts report.
+    pub fn log_suspect(
+        &self,
+        fingerprint: Fingerprint,
+        target: &TargetId,
+        evidence: &str,
+        from_crashes: usize,
+    ) {
         let standing = {
             let state = self.state.borrow();
             state.suspects.standing(self.now(), fingerprint)
         };
-        if standing.crashes > 1 {
+        if standing.crashes >= from_crashes {
             log::warn!(
                 fingerprint:% = format_args!("{fingerprint:016x}"),
                 target:%,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -258,8 +258,12 @@
             };
             state.suspects.record_interrupted_attempt(now, attempt);
         }
-        self.edge
-            .log_suspect(self.fingerprint, &incarnation.id, "interrupted");
+        self.edge.log_suspect(
+            self.fingerprint,
+            &incarnation.id,
+            "interrupted",
+            SUSPICIOUS_CRASHES,
+        );
         self.edge.attempt_interrupted.notify_one();
     }
 
