Refuse callers of profiles as not ready before the first list of the store is read

Cause: a daemon listens before it has read the store. Until it knew a profile, all requests were taken for requests of routes, whose headers callers of profiles do not send.

Change: until the first list is read, requests to the paths of the profile interface are handled by it, which refuses them as not_ready and not run.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -25,10 +25,21 @@
 
 use actix_web::web;
 
+/// Path of the load balancer's health check.
+const HEALTH_PATH: &str = "/health";
+/// Prefix of all other paths.
+const API_PREFIX: &str = "/v1/";
+
+/// Whether a path is one of the interface, or may become one.
+#[must_use]
+pub fn is_api_path(path: &str) -> bool {
+    path == HEALTH_PATH || path.starts_with(API_PREFIX)
+}
+
 /// Registers all routes; they need a [`Gateway`] as application data.
 pub fn routes(config: &mut web::ServiceConfig) {
     config
-        .route("/health", web::get().to(gateway::health))
+        .route(HEALTH_PATH, web::get().to(gateway::health))
         .route("/v1/models", web::get().to(chat::models))
         .route("/v1/chat/completions", web::post().to(chat::completions))
         .route("/v1/tickets", web::post().to(tickets::issue))
--- a/crates/edge/src/profiles/mod.rs
+++ b/crates/edge/src/profiles/mod.rs
@@ -16,9 +16,13 @@
 pub(crate) use gateway::gateway;
 pub use keys::KeyLease;
 
-/// Whether the profile API handles a request: profiles are configured and no route matches.
+/// Whether the profile API handles a request: profiles are configured and no route matches. Before
+/// the first list of the store is read, it handles its own paths, and refuses them as not ready.
 pub(crate) fn handles(edge: &Edge, head: &RequestHead) -> bool {
     let state = edge.state.borrow();
+    if !state.has_loaded_targets {
+        return lapismoor_caller::is_api_path(head.uri.path());
+    }
     if state.profiles.get().is_none() {
         return false;
     }
