Test a stream that ends each engine that resumes it midway

A request that had been answered in part counts as merely present, and gets its first trial at once.

--- a/crates/demo/src/crashing.rs
+++ b/crates/demo/src/crashing.rs
@@ -41,9 +41,14 @@
     pub request_id: String,
 }
 
+/// Text of a chat that ends its engine as soon as it runs.
+pub const CRASH_AT_ONCE: &str = "crash this engine";
+/// Text of a chat that ends its engine after some tokens.
+pub const CRASH_WHILE_ANSWERING: &str = "crash while answering";
+
 /// Sends the request with `marker` that ends engines to the daemon at `address`.
 pub async fn send(address: SocketAddr, marker: &str, identity: Identity) -> CrashingAnswer {
-    send_text(address, marker, "crash this engine", identity).await
+    send_text(address, marker, CRASH_AT_ONCE, identity).await
 }
 
 /// Sends a chat with `marker` and `text` to the daemon at `address`.
--- a/crates/demo/tests/crashing_requests.rs
+++ b/crates/demo/tests/crashing_requests.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use demo::crashing::{
-    CrashingAnswer, Identity, MAX_LATE_RUNS, false_refusals, late_runs, restart_ended_engines,
-    runs, send, send_text,
+    CRASH_AT_ONCE, CRASH_WHILE_ANSWERING, CrashingAnswer, Identity, MAX_LATE_RUNS, false_refusals,
+    late_runs, restart_ended_engines, runs, send_text,
 };
 use demo::fleet::Fleet;
 use demo::fleet_client::set_faults;
@@ -58,6 +58,7 @@
     trouble: Trouble,
     engines_return: Return,
     identity: Identity,
+    text: &'static str,
     pause: Duration,
     tries: usize,
 }
@@ -69,6 +70,7 @@
             trouble,
             engines_return,
             identity: Identity::None,
+            text: CRASH_AT_ONCE,
             pause: Duration::from_millis(3_500),
             tries: 5,
         }
@@ -137,7 +139,7 @@
         let addresses = fleet.caller_addresses();
         let sending = daemons
             .iter()
-            .map(|daemon| send(addresses[*daemon], MARKER, case.identity));
+            .map(|daemon| send_text(addresses[*daemon], MARKER, case.text, case.identity));
         answers.extend(futures::future::join_all(sending).await);
         if case.trouble == Trouble::KillDaemons {
             for daemon in daemons {
@@ -209,6 +211,20 @@
     check(name, &case);
 }
 
+/// Guards against a stream that ends each engine that resumes it, after some tokens. Its request must
+/// not be taken for one that was merely present for longer than the promise allows.
+#[test_case("stream-turn", Order::Turn, Return::Later)]
+#[test_case("stream-same", Order::Same, Return::AtOnce)]
+#[test_case("stream-pairs", Order::Pairs, Return::Later)]
+fn stream_that_ends_engines_midway_is_stopped(name: &str, order: Order, engines_return: Return) {
+    let case = Case {
+        text: CRASH_WHILE_ANSWERING,
+        tries: 6,
+        ..Case::new(order, Trouble::None, engines_return)
+    };
+    check(name, &case);
+}
+
 /// Kills the engine of each new run of the request with [`MARKER`], after it has answered for a
 /// while.
 async fn kill_engines_of(fleet: &mut Fleet, count: usize) {
