Refuse a suspect within a second if the store does not answer the claim of its trial

Cause: a claim takes up to three calls, each with the timeout for answers of the store; with a store that accepts calls and never answers, a request that could only be refused waited for all of them. Change: a claim waits one second at most, and not longer than the request has. From reading; not measured.

--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -28,6 +28,8 @@
 /// Crashes from which on a request is sent to the least loaded target instead of its homes, and only
 /// after the evidence is shared.
 const SUSPICIOUS_CRASHES: usize = 2;
+/// Longest time for which a request waits for the claim of its trial: two calls of a slow store.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before a retry of a request whose trial runs at another daemon or could not be claimed.
 const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -146,7 +148,8 @@
             number,
         };
         let claim = trials::claim(&self.edge, trial);
-        let claimed = tokio::time::timeout(self.time_left(), claim).await;
+        let limit = self.time_left().min(CLAIM_TIMEOUT);
+        let claimed = tokio::time::timeout(limit, claim).await;
         let result = claimed.unwrap_or(ClaimResult::Unanswered);
         report::trial_claimed(self, number, result);
         if result == ClaimResult::Claimed {
