Share withdrawals with other evidence, and split the tables of suspects into files

Change: the withdrawal for a request that no daemon refuses waits up to 5 s for a record to go with; a record that was reported directly is handed over after 4 s, when any copy of the store lists it.

Moved without a change: the verdict, the sharing between daemons, and a job's checks for suspects, into files of their own.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -11,7 +11,9 @@
 //! [`CONFIRMATION_WINDOW`]. An answer clears the request.
 
 mod evidence;
+mod sharing;
 mod trial;
+mod verdict;
 
 use std::ops::Range;
 use std::time::Duration;
@@ -22,64 +24,27 @@
 
 pub use evidence::{Evidence, EvidenceError, SharedInterruption, Withdrawal};
 pub use trial::{TrialClaim, TrialClaimStep, TrialRecord};
+pub use verdict::{Standing, Verdict};
 
-/// Interruptions of a request after which it runs in trials only. The users'
-/// requirement limits what follows the third crash.
+/// Interruptions of a request after which it runs in trials only. The users' requirement limits what
+/// follows the third crash.
 pub const CRASHES_ALLOWED: usize = 3;
 /// Trials of a request, at all daemons together. The users' requirement permits three attempts; one
 /// is left for a daemon that could not be told in time.
 pub const MAX_TRIALS: u32 = 2;
 /// Longest ban of a request, and the lifetime of the evidence against it.
 pub const MAX_BAN: Duration = Duration::from_mins(10);
-/// Time before a trial, after the last interruption: none if the request may only have been present
-/// when its targets crashed, then longer before each further one.
-const TRIAL_DELAYS: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_secs(10),
-    Duration::from_mins(1),
-];
-/// Delay before a retry while a trial runs, perhaps at another daemon.
-const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after an interruption in which the crash of its target is confirmed: three missed heartbeats
 /// and the propagation of the entry's removal.
 pub const CONFIRMATION_WINDOW: Duration = Duration::from_secs(7);
-/// Time for which the first interruption of a request is not shared, as most requests are answered
-/// by their next target within it.
-const SHARE_DELAY: Duration = Duration::from_millis(500);
+/// Time for which a withdrawal waits for other evidence to be shared with, unless daemons may refuse
+/// the request. A request that is not refused does not need it soon, and each record costs a write.
+const WITHDRAWAL_DELAY: Duration = Duration::from_secs(5);
 /// Maximum number of recorded interruptions. Fewer requests are interrupted without being served
 /// when a failure domain of the largest fleet crashes.
 const MAX_RECORDS: usize = 16_384;
 
 value! {
-    /// What a daemon decides about a request, from the interruptions that it knows.
-    pub enum Verdict {
-        /// The request may run.
-        Run,
-        /// The request may run in the trial with this number, if this daemon is the first to claim
-        /// it.
-        Trial {
-            /// Number of the trial, from 1.
-            number: u32,
-        },
-        /// The request must not run.
-        Refuse {
-            /// Time until a trial may be possible.
-            retry_after: Duration,
-        },
-    }
-
-    /// The evidence against a request, for logs.
-    pub struct Standing {
-        /// Interruptions, without those at targets that kept running.
-        pub crashes: usize,
-        /// Targets that crashed before they answered, in attempts that followed each other.
-        pub consecutive: usize,
-        /// Trials claimed by any daemon.
-        pub trials: u32,
-        /// Age of the newest interruption; `None` if there is none.
-        pub age: Option<Duration>,
-    }
-
     /// An attempt whose connection was lost, or whose target fell silent.
     pub struct InterruptedAttempt {
         /// Fingerprint of the request.
@@ -153,6 +118,9 @@
     withdrawn: Vec<(Withdrawal, Moment)>,
     /// Withdrawals that other daemons must be told of.
     unshared_withdrawals: Vec<Withdrawal>,
+    /// When they are shared, if no other evidence is shared earlier. Invariant: `None` if and only
+    /// if there are none.
+    withdrawals_due_at: Option<Moment>,
     /// Whether one of them concerns a request that other daemons may refuse.
     has_urgent_withdrawal: bool,
     /// Greatest known number of a request's claimed trials, and when it was learned. Invariant:
@@ -296,113 +264,11 @@
         for record in removed {
             self.withdraw(now, Withdrawal::of(&record), record.shared_occurrences > 0);
         }
-        self.has_urgent_withdrawal |= counted >= CRASHES_ALLOWED;
-        counted
-    }
-
-    /// Merges what another daemon saw. Returns the requests with new evidence.
-    pub fn merge(&mut self, now: Moment, evidence: &Evidence) -> Vec<Fingerprint> {
-        for withdrawal in &evidence.withdrawn {
-            let is_withdrawn = |record: &Record| Withdrawal::of(record) == *withdrawal;
-            self.records.retain(|record| !is_withdrawn(record));
-            self.withdraw(now, withdrawal.clone(), false);
-        }
-        let mut changed = Vec::new();
-        for shared in &evidence.interrupted {
-            let record = Record {
-                fingerprint: shared.fingerprint,
-                target: shared.target.clone(),
-                is_consecutive: shared.is_consecutive,
-                belief: Belief::Presumed,
-                witness: evidence.witness,
-                occurrences: shared.occurrences,
-                noted_at: now,
-                sharing: Sharing::Acknowledged,
-                shared_occurrences: shared.occurrences,
-            };
-            let is_withdrawn = self.withdrawn_position(&Withdrawal::of(&record)).is_ok();
-            if is_withdrawn || evidence.witness == self.witness {
-                continue;
-            }
-            let known = self
-                .position(&record)
-                .map(|position| &mut self.records[position]);
-            match known {
-                Ok(known) if known.occurrences >= record.occurrences => continue,
-                Ok(known) => *known = record,
-                Err(_) => self.insert(record),
-            }
-            changed.push(shared.fingerprint);
-        }
-        changed
-    }
-
-    /// Returns the evidence of this daemon that other daemons must be told of now, and whether it
-    /// is urgent: it concerns a request that was interrupted at several targets, or that other daemons
-    /// may refuse although it was answered. `None` if there is nothing to share.
-    pub fn take_unshared(&mut self, now: Moment) -> Option<(Evidence, bool)> {
-        let is_sharable =
-            |record: &Record| record.occurrences > record.shared_occurrences && record.counts();
-        let mut is_urgent = std::mem::take(&mut self.has_urgent_withdrawal);
-        let mut interrupted = Vec::new();
-        for position in 0..self.records.len() {
-            let record = &self.records[position];
-            if !is_sharable(record) {
-                continue;
-            }
-            let is_repeated = self.standing(now, record.fingerprint).crashes > 1;
-            let is_due = record.sharing == Sharing::Due
-                || now.saturating_sub(record.noted_at) >= SHARE_DELAY;
-            if !is_repeated && !is_due {
-                continue;
-            }
-            is_urgent |= is_repeated;
-            interrupted.push(SharedInterruption::of(record));
-            let record = &mut self.records[position];
-            record.sharing = Sharing::Sent;
-            record.shared_occurrences = record.occurrences;
-        }
-        let withdrawn = std::mem::take(&mut self.unshared_withdrawals);
-        if interrupted.is_empty() && withdrawn.is_empty() {
-            return None;
-        }
-        let evidence = Evidence {
-            witness: self.witness,
-            interrupted,
-            withdrawn,
-        };
-        Some((evidence, is_urgent))
-    }
-
-    /// Shares the interruptions of a request without waiting for them to become old: its caller may
-    /// repeat it at another daemon. Returns whether there are any of which no other daemon is known
-    /// to have learned.
-    pub fn expedite(&mut self, fingerprint: Fingerprint) -> bool {
-        let mut is_unacknowledged = false;
-        let range = self.range(fingerprint);
-        for record in &mut self.records[range] {
-            if !record.counts() {
-                continue;
-            }
-            is_unacknowledged |= record.sharing != Sharing::Acknowledged;
-            if record.sharing == Sharing::Held {
-                record.sharing = Sharing::Due;
-            }
-        }
-        is_unacknowledged
-    }
-
-    /// Records that the store or another daemon has this evidence.
-    pub fn acknowledge(&mut self, evidence: &Evidence) {
-        for shared in &evidence.interrupted {
-            let range = self.range(shared.fingerprint);
-            for record in &mut self.records[range] {
-                let is_same = record.target == shared.target && record.witness == evidence.witness;
-                if is_same && record.occurrences <= shared.occurrences {
-                    record.sharing = Sharing::Acknowledged;
-                }
-            }
+        if counted >= CRASHES_ALLOWED && !self.unshared_withdrawals.is_empty() {
+            self.withdrawals_due_at = Some(now);
+            self.has_urgent_withdrawal = true;
         }
+        counted
     }
 
     /// Records that a daemon claimed a trial.
@@ -419,71 +285,6 @@
         }
     }
 
-    /// Decides whether a request may run.
-    #[must_use]
-    pub fn verdict(&self, now: Moment, fingerprint: Fingerprint) -> Verdict {
-        let standing = self.standing(now, fingerprint);
-        let (Some(age), true) = (standing.age, standing.crashes >= CRASHES_ALLOWED) else {
-            return Verdict::Run;
-        };
-        if standing.trials >= MAX_TRIALS {
-            let retry_after = MAX_BAN.saturating_sub(age);
-            return Verdict::Refuse { retry_after };
-        }
-        let is_probable_cause = standing.consecutive >= CRASHES_ALLOWED;
-        let step = standing.trials as usize + usize::from(is_probable_cause);
-        let delay = TRIAL_DELAYS[step.min(TRIAL_DELAYS.len() - 1)];
-        let claimed_before = self
-            .trial(fingerprint)
-            .map(|(_, at)| now.saturating_sub(*at));
-        if claimed_before.is_some_and(|since| since < age && since < TRIAL_DELAYS[1]) {
-            return Verdict::Refuse {
-                retry_after: TRIAL_RETRY_AFTER,
-            };
-        }
-        let retry_after = delay.saturating_sub(age);
-        if retry_after.is_zero() {
-            return Verdict::Trial {
-                number: standing.trials + 1,
-            };
-        }
-        Verdict::Refuse { retry_after }
-    }
-
-    /// Time for which a request is still refused; none if it may run, if only in a trial.
-    #[must_use]
-    pub fn ban(&self, now: Moment, fingerprint: Fingerprint) -> Option<Duration> {
-        match self.verdict(now, fingerprint) {
-            Verdict::Run | Verdict::Trial { .. } => None,
-            Verdict::Refuse { retry_after } => Some(retry_after),
-        }
-    }
-
-    /// The evidence against a request.
-    #[must_use]
-    pub fn standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
-        let counted = self.of(fingerprint).iter();
-        let counted = counted.filter(|record| record.counts());
-        let last_noted_at = counted.clone().map(|record| record.noted_at).max();
-        let consecutive = counted.clone().filter(|record| record.is_consecutive);
-        let mut consecutive: Vec<&TargetIncarnation> =
-            consecutive.map(|record| &record.target).collect();
-        consecutive.dedup();
-        Standing {
-            crashes: counted.map(|record| record.occurrences as usize).sum(),
-            consecutive: consecutive.len(),
-            trials: self.trial(fingerprint).map_or(0, |(trial, _)| trial.number),
-            age: last_noted_at.map(|at| now.saturating_sub(at)),
-        }
-    }
-
-    fn trial(&self, fingerprint: Fingerprint) -> Option<&(TrialRecord, Moment)> {
-        let found = self
-            .trials
-            .binary_search_by_key(&fingerprint, |(trial, _)| trial.fingerprint);
-        Some(&self.trials[found.ok()?])
-    }
-
     /// Records of one request.
     fn of(&self, fingerprint: Fingerprint) -> &[Record] {
         &self.records[self.range(fingerprint)]
@@ -520,6 +321,8 @@
     fn withdraw(&mut self, now: Moment, withdrawal: Withdrawal, is_to_share: bool) {
         if is_to_share {
             self.unshared_withdrawals.push(withdrawal.clone());
+            self.withdrawals_due_at
+                .get_or_insert(now + WITHDRAWAL_DELAY);
         }
         if self.withdrawn.len() >= MAX_RECORDS
             && let Some(oldest) = (0..MAX_RECORDS).min_by_key(|at| self.withdrawn[*at].1)
--- a/crates/edge/src/history/cause.rs
+++ b/crates/edge/src/history/cause.rs
@@ -76,8 +76,8 @@
     ),
     (
         "crashes_targets",
-        "the request crashed three or more targets in a row",
-        "look for crash_suspected events and inspect the request",
+        "requests with this content were interrupted at three or more targets that crashed",
+        "look for the crash_suspected events with its fingerprint and inspect the request",
     ),
     (
         "stopping",
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
-use lapismoor_core::admission::{Belief, InterruptedAttempt, Refusal, TrialRecord, Verdict};
+use lapismoor_core::admission::{Belief, Refusal};
 use lapismoor_core::ids::{Fingerprint, ServiceId, TargetKey, hash_parts};
 use lapismoor_core::membership::TargetIncarnation;
 use lapismoor_core::retry::{AttemptCounts, AttemptEnd, NextStep};
@@ -20,19 +20,10 @@
 use crate::context::Edge;
 use crate::dialect::Envelope;
 use crate::spans::ActiveSpan;
-use crate::store::{ClaimResult, share_now, trials};
 
 /// Least time before the deadline with which another attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
-/// Crashes from which on a request is sent to the least loaded target instead of its homes, and only
-/// after the evidence is shared.
-const SUSPICIOUS_CRASHES: usize = 2;
-/// Longest time for which a request waits for the claim of its trial: two calls of a slow store.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
-/// Delay before a retry of a request whose trial runs at another daemon or could not be claimed.
-const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Counts a caller's request as in flight until dropped.
 pub(crate) struct CallerGuard {
     edge: Rc<Edge>,
@@ -73,7 +64,7 @@
     /// Target whose answer has not begun; none between attempts.
     pub waits_for: Cell<Option<TargetKey>>,
     /// Number of runs before the trial that this job claimed; the trial permits one more.
-    trial_after_runs: Option<u32>,
+    pub trial_after_runs: Option<u32>,
     /// Whether the end of the request was logged and counted.
     pub is_end_reported: Cell<bool>,
     /// Whether part of an answer was forwarded to the caller.
@@ -112,53 +103,6 @@
         }
     }
 
-    /// How much longer the request is refused because it crashed targets; `None` if it is not.
-    pub(crate) fn crash_ban(&self) -> Option<Duration> {
-        let now = self.edge.now();
-        self.edge.state.borrow().suspects.ban(now, self.fingerprint)
-    }
-
-    /// Checks before each attempt whether the request may be sent, and claims a trial if it may be
-    /// sent in one only.
-    ///
-    /// # Errors
-    /// The time after which the caller may retry, if the request must not be sent.
-    pub(crate) async fn clear_to_send(&mut self) -> Result<(), Duration> {
-        if self.trial_after_runs == Some(self.progress.runs) {
-            return Ok(());
-        }
-        let verdict = {
-            let state = self.edge.state.borrow();
-            state.suspects.verdict(self.edge.now(), self.fingerprint)
-        };
-        match verdict {
-            Verdict::Run if self.has_crashed_targets() => {
-                share_now(&self.edge, self.fingerprint).await;
-                Ok(())
-            }
-            Verdict::Run => Ok(()),
-            Verdict::Refuse { retry_after } => Err(retry_after),
-            Verdict::Trial { number } => self.claim_trial(number).await,
-        }
-    }
-
-    async fn claim_trial(&mut self, number: u32) -> Result<(), Duration> {
-        let trial = TrialRecord {
-            fingerprint: self.fingerprint,
-            number,
-        };
-        let claim = trials::claim(&self.edge, trial);
-        let limit = self.time_left().min(CLAIM_TIMEOUT);
-        let claimed = tokio::time::timeout(limit, claim).await;
-        let result = claimed.unwrap_or(ClaimResult::Unanswered);
-        report::trial_claimed(self, number, result);
-        if result == ClaimResult::Claimed {
-            self.trial_after_runs = Some(self.progress.runs);
-            return Ok(());
-        }
-        Err(CLAIM_RETRY_AFTER)
-    }
-
     /// Waits in the admission queue until the request may be sent.
     ///
     /// # Errors
@@ -183,13 +127,6 @@
         self.deadline.saturating_sub(self.edge.now())
     }
 
-    /// Whether the request was interrupted at several targets.
-    fn has_crashed_targets(&self) -> bool {
-        let state = self.edge.state.borrow();
-        let standing = state.suspects.standing(self.edge.now(), self.fingerprint);
-        standing.crashes >= SUSPICIOUS_CRASHES
-    }
-
     /// Chooses the target of the next attempt.
     pub(crate) fn choose_target(&self) -> Result<Choice, NoTarget> {
         let now = self.edge.now();
@@ -234,42 +171,6 @@
         )
     }
 
-    /// Whether the target of the attempt in flight has sent nothing since, on any connection.
-    pub(crate) fn is_target_unheard(&self) -> bool {
-        let target = self.waits_for.get();
-        target.is_some_and(|target| self.edge.heard_at(target) <= self.sent_at.get())
-    }
-
-    /// Records that the target of the last attempt may have crashed, unless it was about to exit.
-    fn record_interruption(&self, target: TargetKey, belief: Belief, had_answer: bool) {
-        let now = self.edge.now();
-        let Some(incarnation) = self.sent_to.borrow().clone() else {
-            return;
-        };
-        {
-            let mut state = self.edge.state.borrow_mut();
-            if state.directory.is_exit_planned(now, target) {
-                return;
-            }
-            let is_listed = state.directory.is_listed(&incarnation);
-            let attempt = InterruptedAttempt {
-                fingerprint: self.fingerprint,
-                sent_at: self.sent_at.get(),
-                had_answer,
-                belief: if is_listed { belief } else { Belief::Confirmed },
-                target: incarnation.clone(),
-            };
-            state.suspects.record_interrupted_attempt(now, attempt);
-        }
-        self.edge.log_suspect(
-            self.fingerprint,
-            &incarnation.id,
-            "interrupted",
-            SUSPICIOUS_CRASHES,
-        );
-        self.edge.attempt_interrupted.notify_one();
-    }
-
     /// Whether attempts and success are logged: for sampled requests, and for all after a failed
     /// attempt.
     pub(crate) fn should_log(&self) -> bool {
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod responses;
 mod run;
 mod stream_forwarder;
+mod suspicion;
 
 use std::rc::Rc;
 
--- a/crates/edge/src/store/suspects.rs
+++ b/crates/edge/src/store/suspects.rs
@@ -36,8 +36,9 @@
 /// Timeout for telling one daemon.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a record that another daemon reported directly is written by this one, if the
-/// store does not list it: its author may be gone.
-const HANDOVER_DELAY: Duration = Duration::from_secs(2);
+/// store does not list it: its author may be gone. A copy that is read through another daemon takes up
+/// to half of this time to list it.
+const HANDOVER_DELAY: Duration = Duration::from_secs(4);
 
 /// Shares evidence for as long as the daemon runs.
 pub(crate) async fn share_suspects(edge: Rc<Edge>) {
