Keep evidence under a key of its own

Records of the build before, under lapismoor/suspects/, have no value: each list would log them as unreadable for up to ten minutes after an upgrade. Evidence is kept under lapismoor/evidence/; daemons of the two builds ignore each other's records, so a request counts anew for daemons that are upgraded.

--- a/crates/core/src/admission/suspects/evidence.rs
+++ b/crates/core/src/admission/suspects/evidence.rs
@@ -9,7 +9,7 @@
 use super::Record;
 use crate::ids::{DaemonId, Fingerprint, Incarnation};
 use crate::membership::TargetIncarnation;
-use crate::store::SUSPECTS_PREFIX;
+use crate::store::EVIDENCE_PREFIX;
 
 value! {
     /// A request that was interrupted at a target.
@@ -78,13 +78,13 @@
     /// Store key of the record with the number `sequence` of a daemon's incarnation.
     #[must_use]
     pub fn record_key(daemon: &DaemonId, incarnation: Incarnation, sequence: u64) -> CompactString {
-        format_compact!("{SUSPECTS_PREFIX}{daemon}/{incarnation:016x}-{sequence}")
+        format_compact!("{EVIDENCE_PREFIX}{daemon}/{incarnation:016x}-{sequence}")
     }
 
     /// Whether a store key is that of a record.
     #[must_use]
     pub fn is_record_key(key: &str) -> bool {
-        key.starts_with(SUSPECTS_PREFIX)
+        key.starts_with(EVIDENCE_PREFIX)
     }
 
     /// Value of the record.
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -16,7 +16,7 @@
 /// Key of the profile configuration, which operators write.
 pub const PROFILE_CONFIG_KEY: &str = "lapismoor/config";
 /// Key prefix of the records by which daemons tell each other of interrupted requests.
-pub const SUSPECTS_PREFIX: &str = "lapismoor/suspects/";
+pub const EVIDENCE_PREFIX: &str = "lapismoor/evidence/";
 /// Key prefix of the records of claimed trials.
 pub const TRIALS_PREFIX: &str = "lapismoor/trials/";
 /// Key prefix of the records of callers' idempotency keys.
