Let two daemons take over a record that the store does not list

Cause: each daemon that was told of a record directly wrote it when the store did not list it in time, and repeated that: 89 daemons, a write each, while the store turned some of them away. The small sites hide it.

--- a/crates/edge/src/store/suspects.rs
+++ b/crates/edge/src/store/suspects.rs
@@ -8,7 +8,7 @@
 use actix_web::rt;
 use lapismoor_core::admission::Evidence;
 use lapismoor_core::admission::suspects::MAX_BAN;
-use lapismoor_core::ids::Fingerprint;
+use lapismoor_core::ids::{Fingerprint, hash_parts};
 use lapismoor_core::membership::{DaemonRecord, StoreItem};
 use lapismoor_core::store::{StoreAnswer, StoreRequest};
 use lapismoor_mirror::MirrorClient;
@@ -24,8 +24,13 @@
 /// Time for which interruptions are gathered into one record. The attempts of one request follow
 /// each other within milliseconds.
 const GATHER_TIME: Duration = Duration::from_millis(10);
-/// Delay before a record is written or sent again.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Delay before a record is written or sent again; doubles with each failure. Other daemons were told
+/// directly meanwhile, so there is no hurry.
+const MIN_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Longest delay before a record is written or sent again.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(8);
+/// Number of daemons that take over a record. All of a large fleet would overload the store.
+const SUCCESSORS: usize = 2;
 /// Maximum number of records that wait for the store. Until one is stored, further evidence stays
 /// in the table and is gathered into larger records.
 const MAX_UNSTORED: usize = 64;
@@ -105,6 +110,7 @@
         STORE_PATIENCE
     };
     let is_stored = Cell::new(false);
+    let mut retry_delay = MIN_RETRY_DELAY;
     while !is_stored.get() && edge.now() < give_up_at {
         let storing = async {
             if store(&edge, &item).await {
@@ -124,7 +130,8 @@
         futures::join!(storing, telling);
         if !is_stored.get() {
             tell_after = Duration::ZERO;
-            tokio::time::sleep(RETRY_DELAY).await;
+            tokio::time::sleep(retry_delay).await;
+            retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
         }
     }
 }
@@ -156,9 +163,10 @@
     }
 }
 
-/// Takes over a record that its author reported directly, if the store does not list it in time.
+/// Takes over a record that its author reported directly, if the store does not list it in time and
+/// this is one of its successors.
 pub(crate) async fn hand_over(edge: Rc<Edge>, item: StoreItem) {
-    if edge.unstored_evidence.get() >= MAX_UNSTORED {
+    if !is_successor(&edge, &item) || edge.unstored_evidence.get() >= MAX_UNSTORED {
         return;
     }
     let _guard = UnstoredGuard::new(&edge);
@@ -171,6 +179,16 @@
     }
 }
 
+/// Whether this daemon is one of the few that take over a record. All daemons with the same list of
+/// daemons agree on them.
+fn is_successor(edge: &Edge, item: &StoreItem) -> bool {
+    let rank = |daemon: &str| hash_parts(&[item.key.as_bytes(), daemon.as_bytes()]);
+    let own = rank(&edge.settings.daemon);
+    let state = edge.state.borrow();
+    let before = state.daemons.iter().filter(|peer| rank(&peer.id) < own);
+    before.count() < SUCCESSORS
+}
+
 fn is_listed(edge: &Edge, item: &StoreItem) -> bool {
     let state = edge.state.borrow();
     let items = state.mirror.items();
