Ask targets for a connection before a request is refused for crashing them

Cause: an interruption counts from the start, before the store confirms the crash. Three resets in a row look like three crashes.

Change: before a request is refused or needs a trial, the targets that are only presumed to have crashed are asked for a connection. One that accepts it runs, unless the store reports another incarnation later, which confirms the crash after all. Repeated interruptions at one incarnation count also if it looked alive between them.

Why it works: a crashed engine refuses the connection until it is back, which takes seconds; one that is back sooner is confirmed by its new entry within the time that the promise allows.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -39,7 +39,7 @@
 pub const CONFIRMATION_WINDOW: Duration = Duration::from_secs(7);
 /// Time for which a withdrawal waits for other evidence to be shared with, unless daemons may refuse
 /// the request. A request that is not refused does not need it soon, and each record costs a write.
-const WITHDRAWAL_DELAY: Duration = Duration::from_secs(5);
+const WITHDRAWAL_DELAY: Duration = Duration::from_secs(30);
 /// Maximum number of recorded interruptions. Fewer requests are interrupted without being served
 /// when a failure domain of the largest fleet crashes.
 const MAX_RECORDS: usize = 16_384;
@@ -167,10 +167,9 @@
             return;
         };
         let known = &mut self.records[position];
-        let is_further = known.belief != Belief::Alive && is_after_previous;
         *known = Record {
             is_consecutive: record.is_consecutive || known.is_consecutive,
-            occurrences: known.occurrences + u32::from(is_further),
+            occurrences: known.occurrences + u32::from(is_after_previous),
             shared_occurrences: known.shared_occurrences,
             ..record
         };
@@ -193,7 +192,8 @@
         interrupted
     }
 
-    /// Records that a target answered a request that was sent at `sent_at`: it did not crash before.
+    /// Records that a target answered a request that was sent at `sent_at`, or accepted a connection
+    /// opened then: it did not crash before, unless it has restarted since.
     pub fn record_answer(&mut self, target: &TargetIncarnation, sent_at: Moment) {
         for record in &mut self.records {
             let is_refuted = record.target == *target
@@ -205,6 +205,17 @@
         }
     }
 
+    /// Targets that are only presumed to have crashed under a request.
+    #[must_use]
+    pub fn presumed(&self, fingerprint: Fingerprint) -> Vec<TargetIncarnation> {
+        let records = self.of(fingerprint).iter();
+        let presumed = records.filter(|record| record.belief == Belief::Presumed);
+        let mut targets: Vec<TargetIncarnation> =
+            presumed.map(|record| record.target.clone()).collect();
+        targets.dedup();
+        targets
+    }
+
     /// Whether [`Self::record_answer`] may have an effect.
     #[must_use]
     pub fn has_unconfirmed(&self) -> bool {
--- a/crates/core/src/admission/suspects/verdict.rs
+++ b/crates/core/src/admission/suspects/verdict.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use super::{CRASHES_ALLOWED, MAX_BAN, MAX_TRIALS, Suspects, TrialRecord};
+use super::{CRASHES_ALLOWED, MAX_BAN, MAX_TRIALS, Record, Suspects, TrialRecord};
 use crate::clock::Moment;
 use crate::ids::Fingerprint;
-use crate::membership::TargetIncarnation;
 
 /// Time before a trial, after the last interruption: none if the request may only have been present
 /// when its targets crashed, then longer before each further one.
@@ -39,7 +38,7 @@
     pub struct Standing {
         /// Interruptions, without those at targets that kept running.
         pub crashes: usize,
-        /// Targets that crashed before they answered, in attempts that followed each other.
+        /// Crashes of targets before they answered, in attempts that followed each other.
         pub consecutive: usize,
         /// Trials claimed by any daemon.
         pub trials: u32,
@@ -96,12 +95,16 @@
         let counted = counted.filter(|record| record.counts());
         let last_noted_at = counted.clone().map(|record| record.noted_at).max();
         let consecutive = counted.clone().filter(|record| record.is_consecutive);
-        let mut consecutive: Vec<&TargetIncarnation> =
-            consecutive.map(|record| &record.target).collect();
-        consecutive.dedup();
+        let consecutive: Vec<&Record> = consecutive.collect();
+        // Several daemons may have seen the same crash.
+        let at_targets = consecutive.chunk_by(|left, right| left.target == right.target);
+        let most_seen = at_targets.map(|records| {
+            let occurrences = records.iter().map(|record| record.occurrences as usize);
+            occurrences.max().unwrap_or_default()
+        });
         Standing {
             crashes: counted.map(|record| record.occurrences as usize).sum(),
-            consecutive: consecutive.len(),
+            consecutive: most_seen.sum(),
             trials: self.trial(fingerprint).map_or(0, |(trial, _)| trial.number),
             age: last_noted_at.map(|at| now.saturating_sub(at)),
         }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -373,6 +373,15 @@
         }
     }
 
+    /// Address of an incarnation of a target, if it is listed.
+    #[must_use]
+    pub fn address_if_listed(&self, target: &TargetIncarnation) -> Option<SocketAddr> {
+        let state = self.state.borrow();
+        let is_listed = state.directory.is_listed(target);
+        let known = state.directory.find(&target.id).filter(|_| is_listed)?;
+        Some(known.entry.address)
+    }
+
     /// Incarnation of a target, if it is known.
     #[must_use]
     pub fn incarnation_of(&self, target: TargetKey) -> Option<TargetIncarnation> {
@@ -408,7 +417,7 @@
         let now = self.now();
         let changed = self.state.borrow_mut().suspects.merge(now, evidence);
         if !changed.is_empty() {
-            log::info!(
+            log::debug!(
                 source,
                 interrupted = evidence.interrupted.len() as u64,
                 withdrawn = evidence.withdrawn.len() as u64;
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -54,7 +54,7 @@
 }
 
 async fn run_attempts(mut job: Job) -> Outcome {
-    if let Some(banned_for) = job.crash_ban() {
+    if let Some(banned_for) = job.crash_ban().await {
         return refuse(&job, Refusal::CrashesTargets { banned_for });
     }
     if let Err(refusal) = job.acquire_permit().await {
--- a/crates/edge/src/serve/suspicion.rs
+++ b/crates/edge/src/serve/suspicion.rs
@@ -8,11 +8,14 @@
 
 use super::job::Job;
 use super::report;
+use crate::http::Connection;
 use crate::store::{ClaimResult, share_now, trials};
 
 /// Crashes from which on a request is sent to the least loaded target instead of its homes, and only
 /// after the evidence is shared.
 const SUSPICIOUS_CRASHES: usize = 2;
+/// Time in which a target that runs accepts a connection.
+const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time for which a request waits for the claim of its trial: two calls of a slow store.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before a retry of a request whose trial runs at another daemon or could not be claimed.
@@ -20,9 +23,39 @@
 
 impl Job {
     /// How much longer the request is refused because it crashed targets; `None` if it is not.
-    pub(super) fn crash_ban(&self) -> Option<Duration> {
-        let now = self.edge.now();
-        self.edge.state.borrow().suspects.ban(now, self.fingerprint)
+    pub(super) async fn crash_ban(&self) -> Option<Duration> {
+        match self.verified_verdict().await {
+            Verdict::Run | Verdict::Trial { .. } => None,
+            Verdict::Refuse { retry_after } => Some(retry_after),
+        }
+    }
+
+    /// The verdict on the request. Before it is not simply sent, the targets that are presumed to have
+    /// crashed are asked for a connection: they may only have lost the ones before.
+    async fn verified_verdict(&self) -> Verdict {
+        let verdict = self.verdict();
+        if verdict == Verdict::Run {
+            return verdict;
+        }
+        let edge = &self.edge;
+        let presumed = edge.state.borrow().suspects.presumed(self.fingerprint);
+        let checks = presumed.iter().map(|target| async move {
+            let asked_at = edge.now();
+            let address = edge.address_if_listed(target)?;
+            let connected = Connection::open(address, VERIFICATION_TIMEOUT).await;
+            connected.ok().map(|_| (target, asked_at))
+        });
+        let answers = futures::future::join_all(checks).await;
+        for (target, asked_at) in answers.into_iter().flatten() {
+            let suspects = &mut edge.state.borrow_mut().suspects;
+            suspects.record_answer(target, asked_at);
+        }
+        self.verdict()
+    }
+
+    fn verdict(&self) -> Verdict {
+        let state = self.edge.state.borrow();
+        state.suspects.verdict(self.edge.now(), self.fingerprint)
     }
 
     /// Checks before each attempt whether the request may be sent, and claims a trial if it may be
@@ -34,11 +67,7 @@
         if self.trial_after_runs == Some(self.progress.runs) {
             return Ok(());
         }
-        let verdict = {
-            let state = self.edge.state.borrow();
-            state.suspects.verdict(self.edge.now(), self.fingerprint)
-        };
-        match verdict {
+        match self.verified_verdict().await {
             Verdict::Run if self.has_crashed_targets() => {
                 share_now(&self.edge, self.fingerprint).await;
                 Ok(())
