Wait for the crashing request before the soak checks recovery

Change: the answers are awaited, and ended engines started again, before the daemons must know every target.

--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -86,8 +86,15 @@
         plan.crashing.clone(),
         fleet.caller_addresses(),
     ));
-    let mut violations = inject_faults(&mut fleet, &proxies, config, &plan).await?;
+    inject_faults(&mut fleet, &proxies, config, &plan).await?;
     let crashing = wait_for_crashing(&mut fleet, crashing).await?;
+    // Recovery is checked once every daemon accepts requests and knows every target.
+    let ready = fleet.wait_until_ready().await;
+    let mut violations: Vec<String> = ready
+        .err()
+        .map(|error| error.to_string())
+        .into_iter()
+        .collect();
     let reports = load.finish().await;
     violations.extend(crashing::verify(&fleet, &crashing, &plan.steps)?);
     violations.extend(verify(&fleet, &reports, &plan.steps, run_start_unix_ms)?);
@@ -109,7 +116,6 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     restart_ended_engines(fleet)?;
-    fleet.wait_until_ready().await?;
     crashing.await.map_err(io::Error::other)
 }
 
@@ -118,7 +124,7 @@
     proxies: &Proxies,
     config: &Config,
     plan: &FaultPlan,
-) -> io::Result<Vec<String>> {
+) -> io::Result<()> {
     let start = Instant::now();
     let mut pending = plan.steps.clone();
     let mut fault_ends: Vec<injector::FaultEnd> = Vec::new();
@@ -143,14 +149,7 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
-    injector::restore_all(fleet, proxies).await?;
-    // Recovery is checked once every daemon accepts requests and knows every target.
-    let ready = fleet.wait_until_ready().await;
-    Ok(ready
-        .err()
-        .map(|error| error.to_string())
-        .into_iter()
-        .collect())
+    injector::restore_all(fleet, proxies).await
 }
 
 /// Returns the guarantees that are violated after the last fault: every request gets its whole
