Restore the test of two crashes at one daemon and the third at another

The case is back on the present table: one crash is held, two are shared at once and arrive unchanged, and the third bans at the other daemon.

--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -289,6 +289,22 @@
     }
 }
 
+/// Two crashes at one daemon are shared, and the third at another one bans the request there.
+#[test]
+fn crash_after_two_at_another_daemon_bans_the_request() {
+    let [mut first, mut second] = [1, 2].map(Suspects::new);
+    crash(&mut first, 1_000, CRASHING, 1);
+    assert_eq!(first.take_unshared(ms(1_100)), None);
+    crash(&mut first, 2_000, CRASHING, 2);
+    let (shared, is_urgent) = first.take_unshared(ms(2_100)).expect("evidence");
+    assert!(is_urgent);
+    let received = Evidence::parse(&shared.to_json()).expect("valid evidence");
+    assert_eq!(received, shared);
+    second.merge(ms(2_500), &received);
+    crash(&mut second, 3_000, CRASHING, 3);
+    assert!(second.ban(ms(3_100), CRASHING).is_some());
+}
+
 /// Two daemons see two crashes each at the same time. Four targets crashed, not two.
 #[test]
 fn crashes_at_two_daemons_add_up() {
