Share what the daemons of a large fleet observe

Ruled out: only the start of traffic.

Change, in core/routing/fleet_sample.rs: a daemon sends its load reports and its requests by part to the daemon from which it reads the store, four times a second, and gets the merged sample of some dozens of daemons. The collectors tell each other loads twice a second, one per failure domain across domains. A part gets further homes by its share less the standard error. A load report is used unchanged until it expires, because a home keeps getting the requests of its parts. A home is used up to a lower load if the shared prompt is short: moving such a chat costs little and takes as much load along.

--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -10,6 +10,7 @@
 use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
 use crate::retry::Breaker;
 use crate::routing::LoadView;
+use crate::routing::fleet_sample::{TargetHash, target_hash};
 
 /// Shortest store outage after which the entries of live targets may have expired: one heartbeat
 /// interval of a target.
@@ -34,6 +35,8 @@
 pub struct KnownTarget {
     /// Key of this incarnation of the target.
     pub key: TargetKey,
+    /// Names this incarnation in messages between daemons.
+    pub hash: TargetHash,
     /// Latest entry in the store.
     pub entry: TargetEntry,
     /// Whether the target gets new requests.
@@ -97,6 +100,13 @@
         self.targets.iter_mut().find(|target| target.key == key)
     }
 
+    /// Calls `change` with the load of each known target.
+    pub fn for_each_load(&mut self, mut change: impl FnMut(TargetHash, &mut LoadView)) {
+        for target in &mut self.targets {
+            change(target.hash, &mut target.load);
+        }
+    }
+
     /// Known target with this id, in its latest incarnation.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<&KnownTarget> {
@@ -219,6 +229,7 @@
         self.last_key += 1;
         let mut target = KnownTarget {
             key: self.last_key,
+            hash: target_hash(&entry.incarnation()),
             standing: Standing::InUse,
             breaker: Breaker::default(),
             load: LoadView::default(),
@@ -250,6 +261,7 @@
 
     fn update(&mut self, now: Moment, entry: TargetEntry) -> DirectoryChange {
         let is_draining = entry.state == TargetState::Draining;
+        self.hash = target_hash(&entry.incarnation());
         self.entry = entry;
         if is_draining {
             return if self.leave(now) {
--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -125,27 +125,38 @@
         sources
     }
 
+    /// Daemons with which this one exchanges what it has collected, if others read from it: the
+    /// first reader of each domain with each other, and the second one with the first of its domain.
+    #[must_use]
+    pub fn collectors(&self, daemons: &[DaemonRecord]) -> Vec<DaemonRecord> {
+        if daemons.len() <= SMALL_FLEET {
+            return Vec::new();
+        }
+        let own_readers = domain_readers(&self.domain, daemons);
+        let rank = own_readers.iter().position(|daemon| daemon.id == self.own);
+        let collectors: Vec<&DaemonRecord> = match rank {
+            None => Vec::new(),
+            Some(0) => {
+                let firsts = domains(daemons).into_iter().filter_map(|domain| {
+                    let readers = domain_readers(domain, daemons);
+                    readers.first().copied()
+                });
+                firsts.filter(|first| first.id != self.own).collect()
+            }
+            Some(_) => own_readers.into_iter().take(1).collect(),
+        };
+        collectors.into_iter().cloned().collect()
+    }
+
     /// Daemons that read the store, those of this daemon's failure domain first. Their order within
     /// a domain differs between daemons to spread the load over the readers.
     fn readers<'a>(&self, daemons: &'a [DaemonRecord]) -> Vec<&'a DaemonRecord> {
-        let mut domains: Vec<&FailureDomain> = daemons.iter().map(|one| &one.domain).collect();
-        domains.sort();
-        domains.dedup();
+        let mut domains = domains(daemons);
         domains.sort_by_key(|domain| **domain != self.domain);
         let swap = hash_parts(&[self.own.as_bytes()]) % 2 == 1;
         let mut readers = Vec::new();
         for domain in domains {
-            let members = daemons.iter().filter(|one| one.domain == *domain);
-            let members: Vec<&DaemonRecord> = members.collect();
-            let mut order = rendezvous_order(READER_KEY, members.iter().map(|one| one.id.as_str()));
-            // Readers send configurations of a thousand routes to many daemons at once and
-            // therefore need the highest bandwidth.
-            order.sort_by_key(|position| Reverse(members[*position].link_mbps));
-            let mut selected: Vec<&DaemonRecord> = order
-                .iter()
-                .take(READERS_PER_DOMAIN)
-                .map(|position| members[*position])
-                .collect();
+            let mut selected = domain_readers(domain, daemons);
             if swap {
                 selected.reverse();
             }
@@ -154,3 +165,26 @@
         readers
     }
 }
+
+/// Failure domains of the daemons, sorted.
+fn domains(daemons: &[DaemonRecord]) -> Vec<&FailureDomain> {
+    let mut domains: Vec<&FailureDomain> = daemons.iter().map(|one| &one.domain).collect();
+    domains.sort();
+    domains.dedup();
+    domains
+}
+
+/// Daemons of a domain that read the store for the others, in the same order at each daemon.
+fn domain_readers<'a>(
+    domain: &FailureDomain,
+    daemons: &'a [DaemonRecord],
+) -> Vec<&'a DaemonRecord> {
+    let members = daemons.iter().filter(|one| one.domain == *domain);
+    let members: Vec<&DaemonRecord> = members.collect();
+    let mut order = rendezvous_order(READER_KEY, members.iter().map(|one| one.id.as_str()));
+    // Readers send configurations of a thousand routes to many daemons at once and therefore need
+    // the highest bandwidth.
+    order.sort_by_key(|position| Reverse(members[*position].link_mbps));
+    let readers = order.iter().take(READERS_PER_DOMAIN);
+    readers.map(|position| members[*position]).collect()
+}
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -17,11 +17,11 @@
 /// Capacity left free below the load bound for requests of other daemons that this daemon has not
 /// seen yet.
 const BOUND_MARGIN_REQUESTS: f64 = 2.0;
+/// Length of the shared parts of a prompt from which their reuse is worth the most, in tokens.
+const LONG_PROMPT_TOKENS: f64 = 4_096.0;
 /// Load that one part may put on a home before it gets another one, as a multiple of the mean load
 /// per target.
-const MAX_MEAN_LOADS_PER_HOME: f64 = 1.0;
-/// Sample size below which the traffic share of a part is not reliable, and the part has one home.
-const MIN_SAMPLE_REQUESTS: f64 = 12.0;
+const MAX_MEAN_LOADS_PER_HOME: f64 = 0.5;
 /// Added to the load of targets in other failure domains when loads are compared, so that one of
 /// them is preferred only if it has this many requests fewer in flight.
 const DOMAIN_COST_REQUESTS: f64 = 1.0;
@@ -159,6 +159,16 @@
         }
     }
 
+    /// Popularity of the parts of a service's requests.
+    pub(crate) fn popularity(&mut self, service: &ServiceId) -> &mut Popularity {
+        self.popularity.entry(service.clone()).or_default()
+    }
+
+    /// Popularity of the parts by service.
+    pub(crate) fn popularities(&mut self) -> impl Iterator<Item = (&ServiceId, &mut Popularity)> {
+        self.popularity.iter_mut()
+    }
+
     /// Chooses a target for the request in `query`.
     ///
     /// # Errors
@@ -195,7 +205,7 @@
             .map(|candidate| candidate.target.entry.id.as_str());
         let order = rendezvous_order(part.id, names);
         let homes = self.home_count(now, query, part, candidates.len());
-        let bound = bounds.home_bound(query.preference.reuse_weight);
+        let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value(query.parts));
         let fits = |position: &&usize| {
             let candidate = &candidates[**position];
             candidate.is_usable && candidate.is_healthy && candidate.load < bound
@@ -277,11 +287,7 @@
         part: &PromptPart,
         targets: usize,
     ) -> usize {
-        let popularity = self.popularity.entry(query.service.clone()).or_default();
-        let share = popularity.count_request(now, part.id);
-        if popularity.sample_size(now) < MIN_SAMPLE_REQUESTS {
-            return 1;
-        }
+        let share = self.popularity(query.service).count_request(now, part.id);
         let homes = (share * targets as f64 / MAX_MEAN_LOADS_PER_HOME).ceil() as usize;
         homes.clamp(1, targets)
     }
@@ -324,6 +330,13 @@
     }
 }
 
+/// How much the reuse of the shared parts is worth, from 0 to 1. A chat with a short prompt is moved
+/// at little cost, and takes as much load along as one with a long prompt.
+fn reuse_value(parts: &[PromptPart]) -> f64 {
+    let tokens: u32 = shared_parts(parts).iter().map(|part| part.tokens).sum();
+    (f64::from(tokens) / LONG_PROMPT_TOKENS).min(1.0)
+}
+
 fn least_loaded(candidates: &[Candidate<'_>]) -> Option<usize> {
     let usable = |position: &usize| candidates[*position].is_usable;
     (0..candidates.len())
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -1,11 +1,13 @@
 //! A daemon's estimate of a target's load. It counts its own requests exactly, and derives those of
-//! other daemons from the load that the target reports in its answers.
+//! other daemons from the load that the target reports in its answers, to this daemon or to others
+//! that pass it on.
 
 use std::time::Duration;
 
 use crate::clock::Moment;
 
-/// Age at which a load report is no longer used; most streams end within this time.
+/// Age at which a load report is no longer used. Most streams end within this time, but a home keeps
+/// getting the requests of its parts, so that an older report still says more than the mean.
 const REPORT_TTL: Duration = Duration::from_secs(4);
 
 value! {
@@ -28,7 +30,14 @@
     own_requests: u32,
     /// Requests of other daemons at the time of the last report.
     other_requests: u32,
+    /// Requests of all daemons in the last report.
+    all_requests: u32,
+    /// When the target made the last report.
     reported_at: Option<Moment>,
+    /// When the last report reached this daemon, from the target or through another daemon.
+    received_at: Moment,
+    /// Whether the last report came from the target itself.
+    is_own_report: bool,
 }
 
 impl LoadView {
@@ -45,8 +54,37 @@
     /// Records the load reported in an answer. Must be called before [`Self::record_ended`] for the
     /// answered request, which the reported load still includes.
     pub fn record_report(&mut self, now: Moment, load: &ReportedLoad) {
-        self.other_requests = (load.running + load.waiting).saturating_sub(self.own_requests);
-        self.reported_at = Some(now);
+        self.set_report(now, now, load.running + load.waiting);
+        self.is_own_report = true;
+    }
+
+    /// Records a load of `all_requests` that the target reported to another daemon at
+    /// `reported_at`. Ignored unless it is newer than the last report.
+    pub fn record_relayed_report(&mut self, now: Moment, reported_at: Moment, all_requests: u32) {
+        if self.reported_at.is_none_or(|last| last < reported_at) {
+            self.set_report(now, reported_at.min(now), all_requests);
+            self.is_own_report = false;
+        }
+    }
+
+    /// Requests in the last report and its time, if it reached this daemon after `since`.
+    #[must_use]
+    pub fn report_since(&self, since: Moment) -> Option<(u32, Moment)> {
+        let reported_at = self.reported_at?;
+        (self.received_at > since).then_some((self.all_requests, reported_at))
+    }
+
+    /// Whether the last report came from the target itself, and not through another daemon.
+    #[must_use]
+    pub fn is_own_report(&self) -> bool {
+        self.is_own_report
+    }
+
+    fn set_report(&mut self, now: Moment, reported_at: Moment, all_requests: u32) {
+        self.other_requests = all_requests.saturating_sub(self.own_requests);
+        self.all_requests = all_requests;
+        self.reported_at = Some(reported_at);
+        self.received_at = now;
     }
 
     /// Requests of this daemon in flight at the target.
@@ -61,18 +99,12 @@
         self.reported_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Estimates the requests of all daemons in flight at the target. The weight of the last report
-    /// decays linearly with its age, in favor of `mean_others`: the mean number of requests that
-    /// other daemons have in flight at one target.
+    /// Estimates the requests of all daemons in flight at the target. Without a fresh report, the
+    /// other daemons are assumed to have `mean_others` there, the mean number at one target.
     #[must_use]
     pub fn estimate(&self, now: Moment, mean_others: f64) -> f64 {
-        let report_weight = match self.report_age(now) {
-            Some(age) if age < REPORT_TTL => 1.0 - age.as_secs_f64() / REPORT_TTL.as_secs_f64(),
-            _ => 0.0,
-        };
-        let other_requests =
-            report_weight * f64::from(self.other_requests) + (1.0 - report_weight) * mean_others;
-        f64::from(self.own_requests) + other_requests
+        let others = self.fresh_others(now).map_or(mean_others, f64::from);
+        f64::from(self.own_requests) + others
     }
 
     /// Requests of other daemons in flight at the last report, unless the report has expired.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod choice;
 pub mod config;
+pub mod fleet_sample;
 pub mod idle_connection_limit;
 pub mod load;
 pub mod popularity;
@@ -14,7 +15,8 @@
     AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, Reason, TargetQuery,
 };
 pub use config::{CallerLimits, RoutingConfig, Service, Workspace};
+pub use fleet_sample::{FleetSample, Observations, TargetLoad};
 pub use idle_connection_limit::idle_connection_limit;
 pub use load::{LoadView, ReportedLoad};
-pub use popularity::Popularity;
+pub use popularity::{PartRequests, PartShare, Popularity};
 pub use route::{Backend, Route, RouteKind};
--- a/crates/core/src/routing/popularity.rs
+++ b/crates/core/src/routing/popularity.rs
@@ -1,6 +1,6 @@
-//! Share of a service's traffic that uses one shared prompt part, as seen by one daemon. Callers
-//! are distributed over daemons by a hash of the caller, so that the traffic of each daemon is a
-//! representative sample.
+//! Share of a service's traffic that uses one shared prompt part. Callers are distributed over
+//! daemons by a hash of the caller, so that the traffic of each daemon is a representative sample.
+//! The counts of several daemons can be merged into a larger one.
 
 use std::time::Duration;
 
@@ -11,10 +11,35 @@
 const DECAY_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of parts counted per service. Before a part is added to a full table, parts with
 /// a count below [`MIN_COUNT`] are evicted; if there are none, all counts are dropped.
-const MAX_PARTS: usize = 512;
+const MAX_PARTS: usize = 2_048;
+/// Sample size below which the share of a part is not reliable.
+const MIN_SAMPLE_REQUESTS: f64 = 12.0;
+/// Time for which the shares that another daemon computed from a larger sample are used.
+const FLEET_SHARES_TTL: Duration = Duration::from_secs(3);
+/// Number of parts whose requests are kept until they are merged elsewhere; further parts are left
+/// out.
+const MAX_UNMERGED: usize = 128;
 /// Decayed count below which a part is evicted when the table is full.
 const MIN_COUNT: f64 = 0.05;
 
+value! {
+    /// Number of requests that use a part.
+    pub struct PartRequests {
+        /// Identifier of the part.
+        pub part: u64,
+        /// Number of requests.
+        pub requests: u32,
+    }
+
+    /// Share of a service's requests that use a part.
+    pub struct PartShare {
+        /// Identifier of the part.
+        pub part: u64,
+        /// Share that the part has at least, in millionths.
+        pub millionths: u32,
+    }
+}
+
 #[derive(Debug, Clone)]
 struct PartCount {
     part: u64,
@@ -29,27 +54,103 @@
     parts: Vec<PartCount>,
     total: f64,
     total_updated_at: Moment,
+    /// Own requests that were not taken for another daemon yet. Invariant: sorted by part; at most
+    /// [`MAX_UNMERGED`] long.
+    unmerged: Vec<PartRequests>,
+    /// Shares computed by another daemon from a larger sample. Invariant: sorted by part.
+    fleet_shares: Vec<PartShare>,
+    fleet_shares_at: Option<Moment>,
 }
 
 impl Popularity {
-    /// Counts a request that uses `part`. Returns the part's share of all requests, from 0 to 1.
+    /// Counts a request that uses `part`. Returns the share of all requests that the part has at
+    /// least, from 0 to 1.
     pub fn count_request(&mut self, now: Moment, part: u64) -> f64 {
-        self.total = decayed(self.total, self.total_updated_at, now) + 1.0;
+        self.keep_unmerged(part);
+        let requests = self.add(now, part, 1.0);
+        let own_share = if self.total < MIN_SAMPLE_REQUESTS {
+            0.0
+        } else {
+            proven_requests(requests) / self.total
+        };
+        own_share.max(self.fleet_share(now, part))
+    }
+
+    /// Returns this daemon's requests since the last call, by part.
+    pub fn take_unmerged(&mut self) -> Vec<PartRequests> {
+        std::mem::take(&mut self.unmerged)
+    }
+
+    /// Adds requests that another daemon counted.
+    pub fn merge(&mut self, now: Moment, counted: &[PartRequests]) {
+        for one in counted {
+            self.add(now, one.part, f64::from(one.requests));
+        }
+    }
+
+    /// Parts whose share of all requests is above `min_share`.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn shares_above(&self, now: Moment, min_share: f64) -> Vec<PartShare> {
+        let total = decayed(self.total, self.total_updated_at, now);
+        if total < MIN_SAMPLE_REQUESTS {
+            return Vec::new();
+        }
+        let shares = self.parts.iter().map(|entry| {
+            let requests = decayed(entry.requests, entry.updated_at, now);
+            (entry.part, proven_requests(requests) / total)
+        });
+        let above = shares.filter(|(_, share)| *share > min_share);
+        let to_share = |(part, share): (u64, f64)| PartShare {
+            part,
+            millionths: (share * 1e6) as u32,
+        };
+        above.map(to_share).collect()
+    }
+
+    /// Uses the shares that another daemon computed from a larger sample.
+    pub fn set_fleet_shares(&mut self, now: Moment, mut shares: Vec<PartShare>) {
+        shares.sort_by_key(|share| share.part);
+        self.fleet_shares = shares;
+        self.fleet_shares_at = Some(now);
+    }
+
+    fn fleet_share(&self, now: Moment, part: u64) -> f64 {
+        let is_fresh = |at| now.saturating_sub(at) < FLEET_SHARES_TTL;
+        if !self.fleet_shares_at.is_some_and(is_fresh) {
+            return 0.0;
+        }
+        let found = self
+            .fleet_shares
+            .binary_search_by_key(&part, |share| share.part);
+        found.map_or(0.0, |position| {
+            f64::from(self.fleet_shares[position].millionths) / 1e6
+        })
+    }
+
+    fn keep_unmerged(&mut self, part: u64) {
+        match self.unmerged.binary_search_by_key(&part, |one| one.part) {
+            Ok(position) => self.unmerged[position].requests += 1,
+            Err(position) if self.unmerged.len() < MAX_UNMERGED => {
+                self.unmerged
+                    .insert(position, PartRequests { part, requests: 1 });
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Adds requests for a part and returns the decayed number of its requests.
+    fn add(&mut self, now: Moment, part: u64, requests: f64) -> f64 {
+        self.total = decayed(self.total, self.total_updated_at, now) + requests;
         self.total_updated_at = now;
         let position = match self.parts.binary_search_by_key(&part, |entry| entry.part) {
             Ok(position) => position,
             Err(_) => self.insert(now, part),
         };
         let entry = &mut self.parts[position];
-        entry.requests = decayed(entry.requests, entry.updated_at, now) + 1.0;
+        entry.requests = decayed(entry.requests, entry.updated_at, now) + requests;
         entry.updated_at = now;
-        entry.requests / self.total
-    }
-
-    /// Decayed number of all requests, which the shares refer to.
-    #[must_use]
-    pub fn sample_size(&self, now: Moment) -> f64 {
-        decayed(self.total, self.total_updated_at, now)
+        entry.requests
     }
 
     fn insert(&mut self, now: Moment, part: u64) -> usize {
@@ -73,6 +174,12 @@
     }
 }
 
+/// The count less its standard error. A part that was seen once or twice among a few requests may be
+/// rare, and each home that it gets in vain processes it again.
+fn proven_requests(count: f64) -> f64 {
+    (count - count.sqrt()).max(0.0)
+}
+
 fn decayed(count: f64, updated_at: Moment, now: Moment) -> f64 {
     let age = now.saturating_sub(updated_at);
     count * (-age.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
--- a/crates/core/tests/sources.rs
+++ b/crates/core/tests/sources.rs
@@ -46,6 +46,38 @@
     assert_eq!(actual, expected);
 }
 
+/// What one collector knows must reach all daemons, over at most two others.
+#[test_case(7, 0; "a small fleet has no collectors")]
+#[test_case(90, 8)]
+#[test_case(400, 8)]
+fn collectors_are_connected(size: u16, expected: usize) {
+    let fleet = fleet(size);
+    let all = sources(&fleet);
+    let peers = |one: &Sources| one.collectors(&fleet);
+    let collectors: Vec<usize> = (0..all.len())
+        .filter(|position| !peers(&all[*position]).is_empty())
+        .collect();
+    assert_eq!(collectors.len(), expected);
+    for start in &collectors {
+        let mut reached = vec![fleet[*start].clone()];
+        for _ in 0..3 {
+            let next = collectors.iter().filter(|position| {
+                let asks = peers(&all[**position]);
+                asks.iter().any(|peer| reached.contains(peer))
+            });
+            let next: Vec<DaemonRecord> = next.map(|position| fleet[*position].clone()).collect();
+            let answered = reached.iter().flat_map(|one| {
+                let position = fleet.iter().position(|known| known == one);
+                peers(&all[position.expect("in the fleet")])
+            });
+            let answered: Vec<DaemonRecord> = answered.collect();
+            reached.extend(next.into_iter().chain(answered));
+        }
+        let is_reached = |position: &usize| reached.contains(&fleet[*position]);
+        assert!(collectors.iter().all(is_reached));
+    }
+}
+
 #[test]
 fn readers_know_that_others_read_from_them() {
     for (size, expected) in [(7, 0), (90, 8)] {
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -19,7 +19,7 @@
     Chooser, ReportedLoad, RoutingConfig, Service, idle_connection_limit, profile_route,
 };
 use lapismoor_core::{Clock, Moment};
-use lapismoor_mirror::ByteCounter;
+use lapismoor_mirror::{ByteCounter, MirrorClient};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -75,6 +75,9 @@
     pub idempotent_request_ended: Notify,
     /// Store lease of the records that bind callers' idempotency keys.
     pub key_lease: KeyLease,
+    /// Connection to the daemon from which this one reads the store; none if it reads the store
+    /// itself.
+    pub collector: RefCell<Option<Rc<MirrorClient>>>,
     /// Count of bytes exchanged with other daemons.
     pub peer_bytes: ByteCounter,
 }
@@ -186,6 +189,7 @@
             unstored_evidence: Cell::new(0),
             idempotent_request_ended: Notify::new(),
             key_lease,
+            collector: RefCell::new(None),
             peer_bytes: ByteCounter::default(),
         })
     }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -24,7 +24,10 @@
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
 use crate::status::Status;
-use crate::store::{StoreClient, announce, follow, mirror_source, share_suspects};
+use crate::store::{
+    StoreClient, announce, exchange_between_collectors, exchange_observations, follow,
+    mirror_source, share_suspects,
+};
 
 /// Interval between removals of expired entries and idle connections.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
@@ -107,6 +110,8 @@
     rt::spawn(follow(Rc::clone(&edge), store.clone()));
     rt::spawn(announce(Rc::clone(&edge), store, record));
     rt::spawn(share_suspects(Rc::clone(&edge)));
+    rt::spawn(exchange_observations(Rc::clone(&edge)));
+    rt::spawn(exchange_between_collectors(Rc::clone(&edge)));
     rt::spawn(run_housekeeping(Rc::clone(&edge)));
     log::info!(
         caller_address:% = edge.settings.caller_address,
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -10,6 +10,7 @@
 use lapismoor_core::membership::StoreItem;
 use lapismoor_mirror::{MirrorAnswer, MirrorSource};
 
+use super::observations::take_exchange;
 use super::suspects::hand_over;
 use super::update::StoreUpdate;
 use crate::context::Edge;
@@ -19,6 +20,7 @@
     let for_list = Rc::clone(edge);
     let for_watch = Rc::clone(edge);
     let for_report = Rc::clone(edge);
+    let for_exchange = Rc::clone(edge);
     MirrorSource {
         list: Rc::new(move || {
             let edge = Rc::clone(&for_list);
@@ -29,6 +31,9 @@
             async move { watch(&edge, after, wait).await }.boxed_local()
         }),
         report: Rc::new(move |records| take_report(&for_report, records)),
+        exchange: Rc::new(move |observations, since| {
+            take_exchange(&for_exchange, &observations, since)
+        }),
     }
 }
 
--- a/crates/edge/src/store/source_client.rs
+++ b/crates/edge/src/store/source_client.rs
@@ -1,6 +1,7 @@
 //! Fetches store content from a source and dates the answer by this daemon's clock.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::ToCompactString;
@@ -23,7 +24,7 @@
 /// Fetches from sources; keeps the connection to the last daemon used.
 pub(super) struct SourceClient {
     client: StoreClient,
-    mirror: Option<(SocketAddr, MirrorClient)>,
+    mirror: Option<(SocketAddr, Rc<MirrorClient>)>,
 }
 
 impl SourceClient {
@@ -66,7 +67,7 @@
         };
         edge.metrics.count_store_call(source_kind, result.is_ok());
         if result.is_err() {
-            self.mirror = None;
+            self.disconnect(edge);
         }
         result
     }
@@ -124,19 +125,23 @@
         &mut self,
         edge: &Edge,
         address: SocketAddr,
-    ) -> Result<&MirrorClient, StoreError> {
-        let is_same = self
-            .mirror
-            .as_ref()
-            .is_some_and(|(connected_to, _)| *connected_to == address);
-        if !is_same {
-            self.mirror = None;
-            let connected = MirrorClient::connect(address, edge.peer_bytes.clone()).await;
-            let mirror = connected.map_err(|error| to_store_error(&error))?;
-            self.mirror = Some((address, mirror));
+    ) -> Result<Rc<MirrorClient>, StoreError> {
+        if let Some((connected_to, mirror)) = &self.mirror
+            && *connected_to == address
+        {
+            return Ok(Rc::clone(mirror));
         }
-        let connected = self.mirror.as_ref().map(|(_, mirror)| mirror);
-        connected.ok_or_else(|| unavailable(&"not connected to the daemon"))
+        self.disconnect(edge);
+        let connected = MirrorClient::connect(address, edge.peer_bytes.clone()).await;
+        let mirror = Rc::new(connected.map_err(|error| to_store_error(&error))?);
+        edge.collector.replace(Some(Rc::clone(&mirror)));
+        self.mirror = Some((address, Rc::clone(&mirror)));
+        Ok(mirror)
+    }
+
+    fn disconnect(&mut self, edge: &Edge) {
+        self.mirror = None;
+        edge.collector.replace(None);
     }
 }
 
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -1,5 +1,5 @@
 @0xb1f0c4d52a9e7613;
-# What daemons tell each other of the platform's store.
+# What daemons tell each other: the platform's store, and what they observe of targets and requests.
 
 interface StoreMirror {
   list @0 () -> (answer :Answer);
@@ -10,6 +10,10 @@
 
   report @2 (items :List(Item)) -> ();
   # Records of the caller that are not in the platform's store yet.
+
+  exchange @3 (observations :Observations, sinceMs :UInt32) -> (sample :FleetSample);
+  # Merges what the caller has observed since its last call, and returns what this daemon has learned
+  # in the last milliseconds.
 }
 
 struct Answer {
@@ -31,3 +35,35 @@
   isRemoved @1 :Bool;
   value @2 :Data;
 }
+
+struct Observations {
+  loads @0 :List(TargetLoad);
+  requests @1 :List(ServiceParts);
+  # Number of requests by part.
+}
+
+struct FleetSample {
+  loads @0 :List(TargetLoad);
+  popular @1 :List(ServiceParts);
+  # Share of the service's requests by part, in millionths.
+}
+
+struct TargetLoad {
+  target @0 :UInt32;
+  # Hash of the target's incarnation.
+
+  requests @1 :UInt16;
+  ageMs @2 :UInt16;
+}
+
+struct ServiceParts {
+  service @0 :UInt32;
+  # Hash of the service's name.
+
+  parts @1 :List(Part);
+}
+
+struct Part {
+  id @0 :UInt64;
+  number @1 :UInt32;
+}
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -6,6 +6,7 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
+use lapismoor_core::routing::{FleetSample, Observations};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpStream;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -14,6 +15,7 @@
 use crate::counted::{ByteCounter, CountedStream};
 use crate::items::{read_items, write_items};
 use crate::mirror_capnp::{answer, store_mirror};
+use crate::observations::{read_sample, write_observations};
 
 /// Timeout for a new connection; daemons that serve each other are in one region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -131,6 +133,25 @@
         call.send().promise.await.context(CallSnafu)?;
         Ok(())
     }
+
+    /// Reports observations, and returns what the daemon has learned from all that report to it in
+    /// the time `since` the last call.
+    ///
+    /// # Errors
+    /// [`MirrorError::Call`] if the call fails.
+    pub async fn exchange(
+        &self,
+        observations: &Observations,
+        since: Duration,
+    ) -> Result<FleetSample, MirrorError> {
+        let mut call = self.mirror.exchange_request();
+        write_observations(observations, call.get().init_observations());
+        call.get()
+            .set_since_ms(u32::try_from(since.as_millis()).unwrap_or(u32::MAX));
+        let response = call.send().promise.await.context(CallSnafu)?;
+        let results = response.get().context(CallSnafu)?;
+        read_sample(results.get_sample().context(CallSnafu)?).context(CallSnafu)
+    }
 }
 
 fn read_answer(answer: answer::Reader<'_>) -> Result<MirrorAnswer, MirrorError> {
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -1,8 +1,10 @@
-//! Client and server of the protocol by which daemons read the key-value store through each other.
+//! Client and server of the protocol between daemons: they read the key-value store through each
+//! other, and exchange what they observe of targets and requests.
 
 mod client;
 mod counted;
 mod items;
+mod observations;
 mod server;
 
 /// Code generated from `schema/mirror.capnp`.
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -7,6 +7,7 @@
 use futures::future::LocalBoxFuture;
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
+use lapismoor_core::routing::{FleetSample, Observations};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -14,6 +15,7 @@
 use crate::counted::{ByteCounter, CountedStream};
 use crate::items::{read_items, write_items};
 use crate::mirror_capnp::{answer, store_mirror};
+use crate::observations::{read_observations, write_sample};
 
 /// Delay after a failed accept, so that file descriptors can become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -30,6 +32,8 @@
     pub watch: Rc<dyn Fn(StoreRevision, Duration) -> AnswerFuture>,
     /// Takes records of another daemon that may not be in the store yet.
     pub report: Rc<dyn Fn(Vec<StoreItem>)>,
+    /// Merges observations of another daemon, and returns what this one learned in the given time.
+    pub exchange: Rc<dyn Fn(Observations, Duration) -> FleetSample>,
 }
 
 /// Accepts connections from other daemons forever and adds the bytes exchanged to `counter`. Must
@@ -109,6 +113,19 @@
         (self.source.report)(read_items(items)?);
         Ok(())
     }
+
+    async fn exchange(
+        self: Rc<Self>,
+        params: store_mirror::ExchangeParams,
+        mut results: store_mirror::ExchangeResults,
+    ) -> capnp::Result<()> {
+        let request = params.get()?;
+        let observations = read_observations(request.get_observations()?)?;
+        let since = Duration::from_millis(request.get_since_ms().into());
+        let sample = (self.source.exchange)(observations, since);
+        write_sample(&sample, results.get().init_sample());
+        Ok(())
+    }
 }
 
 /// Longest list of reported records; a daemon reports one at a time.
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use lapismoor_core::membership::StoreItem;
+use lapismoor_core::routing::{FleetSample, Observations, PartRequests, PartShare, TargetLoad};
 use lapismoor_mirror::{ByteCounter, MirrorAnswer, MirrorClient, MirrorError, MirrorSource, serve};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -34,6 +35,42 @@
         list: Rc::new(|| async { Some(answer()) }.boxed_local()),
         watch: Rc::new(|after, _| async move { (after >= 3).then(answer) }.boxed_local()),
         report: Rc::new(|records| REPORTED.with_borrow_mut(|reported| reported.extend(records))),
+        exchange: Rc::new(|observations, since| {
+            assert_eq!(since, Duration::from_millis(550));
+            assert_eq!(observations, self::observations());
+            sample()
+        }),
+    }
+}
+
+fn loads() -> Vec<TargetLoad> {
+    let load = |target, requests, age_ms| TargetLoad {
+        target,
+        requests,
+        age: Duration::from_millis(age_ms),
+    };
+    vec![load(u32::MAX, 0, 0), load(7, 65_535, 2_999)]
+}
+
+fn observations() -> Observations {
+    let requests = PartRequests {
+        part: u64::MAX,
+        requests: 3,
+    };
+    Observations {
+        loads: loads(),
+        requests: vec![(1, vec![requests]), (2, Vec::new())],
+    }
+}
+
+fn sample() -> FleetSample {
+    let share = PartShare {
+        part: 5,
+        millionths: 55_000,
+    };
+    FleetSample {
+        loads: loads(),
+        popular: vec![(1, vec![share])],
     }
 }
 
@@ -112,3 +149,17 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn observations_and_the_merged_sample_arrive_unchanged() {
+    let exchange = async {
+        let client = connected_client().await;
+        let since = Duration::from_millis(550);
+        let actual = client
+            .exchange(&observations(), since)
+            .await
+            .expect("served");
+        assert_eq!(actual, sample());
+    };
+    LocalSet::new().run_until(exchange).await;
+}
