Let few daemons read the store when a fleet starts for the first time

Cause: at the first start no daemon is announced, so each one reads the whole list from the store, three pages and more. After a restart of the fleet, each daemon reads the pages of all announcements at full price. Ruled out: renewals of leases, which count a tenth.

Change: the announcements are listed from a copy that may be seconds old, at a tenth of the price. If there are none, the daemons announce themselves at once and list again after 0.7 s; the readers among them read the store, and the others read from these.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -59,6 +59,9 @@
     pub stopping: CancellationToken,
     /// When the graceful shutdown began; none before.
     pub stopping_since: Cell<Option<Moment>>,
+    /// Whether no daemon was announced when this one started, so that the fleet may start for the
+    /// first time.
+    pub is_first_start: Cell<bool>,
     /// Number of callers' requests in flight.
     pub in_flight: Cell<usize>,
     /// Calls the store.
@@ -181,6 +184,7 @@
             store_changed: Notify::new(),
             stopping: CancellationToken::new(),
             stopping_since: Cell::new(None),
+            is_first_start: Cell::new(false),
             in_flight: Cell::new(0),
             store,
             attempt_interrupted: Notify::new(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,4 +29,6 @@
 pub use settings::{EdgeSettings, FleetLimits, Tuning};
 pub use start::{StartError, run};
 pub use status::{Status, TargetStatus};
-pub use store::{Changes, RecordLease, StoreCall, StoreClient, StoreError, StoreUpdate};
+pub use store::{
+    Changes, Consistency, RecordLease, StoreCall, StoreClient, StoreError, StoreUpdate,
+};
--- a/crates/edge/src/store/announce.rs
+++ b/crates/edge/src/store/announce.rs
@@ -26,7 +26,7 @@
 /// Announces the daemon and renews the lease for as long as the daemon runs.
 pub(crate) async fn announce(edge: Rc<Edge>, client: StoreClient, record: DaemonRecord) {
     let mut lease: Option<LeaseId> = None;
-    while !edge.state.borrow().has_loaded_targets {
+    while !edge.state.borrow().has_loaded_targets && !edge.is_first_start.get() {
         tokio::time::sleep(LISTING_POLL_INTERVAL).await;
     }
     tokio::time::sleep(initial_delay(&edge)).await;
--- a/crates/edge/src/store/client.rs
+++ b/crates/edge/src/store/client.rs
@@ -45,6 +45,15 @@
     },
 }
 
+/// How current an answer of the store must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Consistency {
+    /// It includes all changes that the store acknowledged before the call.
+    Latest,
+    /// It may be some seconds old. The store charges a fraction of the price.
+    MayBeStale,
+}
+
 /// Future of a store call; it runs on the daemon's thread.
 pub type StoreCall<T> = LocalBoxFuture<'static, Result<T, StoreError>>;
 
@@ -54,7 +63,7 @@
     /// Reads the current state of all keys.
     pub list: Rc<dyn Fn() -> StoreCall<Changes>>,
     /// Reads only the announced daemons, which is much less data than `list`.
-    pub list_daemons: Rc<dyn Fn() -> StoreCall<Vec<StoreItem>>>,
+    pub list_daemons: Rc<dyn Fn(Consistency) -> StoreCall<Vec<StoreItem>>>,
     /// Returns the changes after a revision; waits for them at most the given time.
     pub watch: Rc<dyn Fn(StoreRevision, Duration) -> StoreCall<Changes>>,
     /// Announces a daemon under a new lease with the given TTL.
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -9,7 +9,7 @@
 use lapismoor_core::membership::{Source, Sources, StoreItem, max_source_age};
 
 use super::apply::apply;
-use super::client::{StoreClient, StoreError};
+use super::client::{Consistency, StoreClient, StoreError};
 use super::source_client::{SourceAnswer, SourceClient};
 use crate::context::Edge;
 use crate::millis::millis;
@@ -25,6 +25,10 @@
 /// store would answer none of them.
 const STARTUP_WINDOW: Duration = Duration::from_millis(1_500);
 
+/// Time in which all daemons announce themselves when a fleet starts for the first time. The VMs
+/// start within 0.3 s of each other.
+const FIRST_START_WAIT: Duration = Duration::from_millis(700);
+
 /// State of the follow loop.
 struct Follower {
     sources: Sources,
@@ -72,18 +76,41 @@
 }
 
 /// Loads the announced daemons, so that the first full list can be read from one of them. After a
-/// restart of the whole fleet, the announcements from before it are still in the store.
+/// restart of the whole fleet, the announcements from before it are still in the store. If there are
+/// none, the fleet starts for the first time: the daemons announce themselves at once, and wait for
+/// the announcements of the others. Otherwise each of them would read everything from the store.
 async fn load_daemons(edge: &Edge, client: &StoreClient) {
+    if list_daemons(edge, client, Consistency::MayBeStale).await != Some(0) {
+        return;
+    }
+    edge.is_first_start.set(true);
+    tokio::time::sleep(FIRST_START_WAIT).await;
+    list_daemons(edge, client, Consistency::Latest).await;
+}
+
+/// Returns the number of announced daemons; `None` if the store does not answer.
+async fn list_daemons(
+    edge: &Edge,
+    client: &StoreClient,
+    consistency: Consistency,
+) -> Option<usize> {
     let limit = edge.settings.tuning.store_timeout;
-    let listed = tokio::time::timeout(limit, (client.list_daemons)()).await;
+    let listed = tokio::time::timeout(limit, (client.list_daemons)(consistency)).await;
     match listed {
         Ok(Ok(items)) => {
             for update in items.iter().filter_map(client.decode) {
                 apply(edge, edge.now(), update, true);
             }
+            Some(items.len())
+        }
+        Ok(Err(error)) => {
+            log::warn!(error:%; "daemons_not_read");
+            None
+        }
+        Err(_) => {
+            log::warn!("daemons_not_read");
+            None
         }
-        Ok(Err(error)) => log::warn!(error:%; "daemons_not_read"),
-        Err(_) => log::warn!("daemons_not_read"),
     }
 }
 
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -14,7 +14,7 @@
 mod update;
 
 pub(crate) use announce::announce;
-pub use client::{Changes, StoreCall, StoreClient, StoreError};
+pub use client::{Changes, Consistency, StoreCall, StoreClient, StoreError};
 pub(crate) use follow::follow;
 pub(crate) use mirror_source::mirror_source;
 pub(crate) use observations::{exchange_between_collectors, exchange_observations};
--- a/crates/lapismoorctl/src/fleet.rs
+++ b/crates/lapismoorctl/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use compact_str::ToCompactString;
 use lapismoor_core::membership::DaemonRecord;
-use lapismoor_edge::{Status, StoreClient, StoreUpdate};
+use lapismoor_edge::{Consistency, Status, StoreClient, StoreUpdate};
 use serde_json::json;
 
 use crate::error::CommandError;
@@ -16,7 +16,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 async fn read_daemons(store: &StoreClient) -> Result<Vec<DaemonRecord>, CommandError> {
-    let result = tokio::time::timeout(CALL_TIMEOUT, (store.list_daemons)()).await;
+    let result =
+        tokio::time::timeout(CALL_TIMEOUT, (store.list_daemons)(Consistency::Latest)).await;
     let items = match result {
         Ok(Ok(items)) => items,
         Ok(Err(error)) => return Err(no_answer(&error)),
