Heed targets that say they leave or ask for a pause

Change: - An answer with the mark takes the incarnation out of use at once. What the store lists does not bring it back, a new start of the engine does. At most 1,024 incarnations are remembered. - A pause holds for the time that the engine named, ten minutes at most, and is kept apart from the circuit breaker: it says nothing about health, and its end is known. If all targets are paused, callers are refused at once with the time until the first pause ends. - Both are decided for every answer of a target, whatever its status (the pause for 503 only), before it is classified. - A pause that is no time is ignored and logged; a longer one than ten minutes is logged as bounded.

Not built: other daemons do not learn of the mark; each one stops with its first answer.

--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -22,6 +22,11 @@
         NoTarget,
         /// No target could be reached.
         Unreachable,
+        /// All targets have asked for a pause.
+        TargetsPaused {
+            /// Time until the first pause ends.
+            retry_after: Duration,
+        },
         /// All targets rejected the request, or the service's retry budget is used up.
         Busy,
         /// The request would wait for too long to be answered on time.
@@ -60,6 +65,7 @@
             Self::UnknownKey => "unknown_key",
             Self::NoTarget => "no_target",
             Self::Unreachable => "unreachable",
+            Self::TargetsPaused { .. } => "targets_paused",
             Self::Busy => "busy",
             Self::Full { .. } => "full",
             Self::QueueFull { .. } => "queue_full",
@@ -85,7 +91,8 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NoRoute | Self::UnknownKey => None,
-            Self::Full { retry_after }
+            Self::TargetsPaused { retry_after }
+            | Self::Full { retry_after }
             | Self::QueueFull { retry_after }
             | Self::WorkspaceLimit { retry_after } => Some(*retry_after),
             Self::CrashesTargets { banned_for } => Some(*banned_for),
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -3,12 +3,13 @@
 //! A target is listed while its entry is in the store, in use while it gets new requests, and known
 //! while it is in the directory. A target that left stays known for a while.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::ids::{TargetId, TargetKey};
 use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
-use crate::retry::Breaker;
+use crate::retry::{Breaker, Pause};
 use crate::routing::LoadView;
 use crate::routing::fleet_sample::{TargetHash, target_hash};
 
@@ -43,6 +44,8 @@
     pub standing: Standing,
     /// Circuit breaker fed by this daemon's own attempts.
     pub breaker: Breaker,
+    /// Pause that the target asked for.
+    pub pause: Pause,
     /// Load as this daemon estimates it.
     pub load: LoadView,
     /// When this daemon last received data from the target.
@@ -72,10 +75,15 @@
     /// Invariant: sorted by id.
     targets: Vec<KnownTarget>,
     last_key: TargetKey,
+    /// Incarnations that said in an answer that they leave. The store may list them as ready for
+    /// longer, or again after it was restored. Invariant: sorted; at most [`MAX_SAID_LEAVING`] long.
+    said_leaving: Vec<(TargetIncarnation, SocketAddr, Moment)>,
     /// End of the grace period for entries that expired during an outage of the store.
     relisting_until: Option<Moment>,
 }
 
+/// Maximum number of incarnations whose announced end is remembered; the oldest one is forgotten.
+const MAX_SAID_LEAVING: usize = 1_024;
 /// Minimum time for which a leaving target keeps running to finish its requests.
 const MIN_DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time for which a leaving target stays in the directory. Its streams may continue, and its cache
@@ -168,7 +176,8 @@
             self.targets[position] = self.new_target(now, entry);
             return DirectoryChange::Restarted;
         }
-        self.targets[position].update(now, entry)
+        let said_leaving = self.has_said_leaving(&entry);
+        self.targets[position].update(now, entry, said_leaving)
     }
 
     /// Applies the removal of an entry from the store. Returns the target unless it is unknown or
@@ -197,6 +206,36 @@
         self.targets[position].leave(now)
     }
 
+    /// Records that a target said in an answer that it leaves. This holds for its incarnation,
+    /// whatever the store lists. Returns whether that changed its standing.
+    pub fn record_said_leaving(&mut self, now: Moment, key: TargetKey) -> bool {
+        let Some(position) = self.targets.iter().position(|target| target.key == key) else {
+            return false;
+        };
+        let entry = &self.targets[position].entry;
+        let (incarnation, address) = (entry.incarnation(), entry.address);
+        if let Err(position) = self.search_said_leaving(&incarnation, address) {
+            self.said_leaving
+                .insert(position, (incarnation, address, now));
+        }
+        if self.said_leaving.len() > MAX_SAID_LEAVING {
+            let oldest = self.said_leaving.iter().enumerate();
+            if let Some((oldest, _)) = oldest.min_by_key(|(_, (_, _, at))| *at) {
+                self.said_leaving.remove(oldest);
+            }
+        }
+        self.targets[position].leave(now)
+    }
+
+    fn search_said_leaving(
+        &self,
+        incarnation: &TargetIncarnation,
+        address: SocketAddr,
+    ) -> Result<usize, usize> {
+        self.said_leaving
+            .binary_search_by(|(known, at, _)| (known, at).cmp(&(incarnation, &address)))
+    }
+
     /// Records that the store answers again after an outage.
     pub fn store_recovered(&mut self, now: Moment, outage: Duration) {
         if outage >= EXPIRY_OUTAGE {
@@ -232,17 +271,23 @@
             hash: target_hash(&entry.incarnation()),
             standing: Standing::InUse,
             breaker: Breaker::default(),
+            pause: Pause::default(),
             load: LoadView::default(),
             last_received_at: now,
             left_at: None,
             entry,
         };
-        if target.entry.state == TargetState::Draining {
+        if target.entry.state == TargetState::Draining || self.has_said_leaving(&target.entry) {
             target.leave(now);
         }
         target
     }
 
+    fn has_said_leaving(&self, entry: &TargetEntry) -> bool {
+        let found = self.search_said_leaving(&entry.incarnation(), entry.address);
+        found.is_ok()
+    }
+
     fn position(&self, id: &str) -> Result<usize, usize> {
         self.targets
             .binary_search_by(|target| target.entry.id.as_str().cmp(id))
@@ -259,8 +304,14 @@
         is_restarted || self.entry.address != entry.address || self.entry.service != entry.service
     }
 
-    fn update(&mut self, now: Moment, entry: TargetEntry) -> DirectoryChange {
-        let is_draining = entry.state == TargetState::Draining;
+    /// Whether requests may be sent to the target now.
+    #[must_use]
+    pub fn is_available(&self, now: Moment) -> bool {
+        self.breaker.is_closed(now) && self.pause.left(now).is_zero()
+    }
+
+    fn update(&mut self, now: Moment, entry: TargetEntry, said_leaving: bool) -> DirectoryChange {
+        let is_draining = entry.state == TargetState::Draining || said_leaving;
         self.hash = target_hash(&entry.incarnation());
         self.entry = entry;
         if is_draining {
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod breaker;
 pub mod outcome;
+pub mod pause;
 pub mod retry_budget;
 
 pub use breaker::Breaker;
 pub use outcome::{AnswerKind, AttemptCounts, AttemptEnd, NextStep, RetryPolicy, classify_answer};
+pub use pause::{MAX_PAUSE, Pause};
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -7,6 +7,7 @@
 //! flight.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::clock::Moment;
 use crate::ids::{FailureDomain, ServiceId, TargetKey};
@@ -61,6 +62,11 @@
         NoneInUse,
         /// All targets in use were already tried or are unreachable.
         NoneReachable,
+        /// All targets in use have asked for a pause.
+        Paused {
+            /// Time until the first pause ends.
+            left: Duration,
+        },
     }
 }
 
@@ -189,7 +195,7 @@
             Some(part) => self.choose_home(now, directory, &candidates, query, (part, bounds)),
             None => self.choose_least_loaded(&candidates, query, bounds),
         };
-        choice.ok_or(NoTarget::NoneReachable)
+        choice.ok_or_else(|| why_unavailable(now, &candidates))
     }
 
     fn choose_home(
@@ -337,6 +343,15 @@
     (f64::from(tokens) / LONG_PROMPT_TOKENS).min(1.0)
 }
 
+/// Why no candidate can get a request.
+fn why_unavailable(now: Moment, candidates: &[Candidate<'_>]) -> NoTarget {
+    let pauses = candidates.iter().map(|one| one.target.pause.left(now));
+    match pauses.min() {
+        Some(left) if !left.is_zero() => NoTarget::Paused { left },
+        _ => NoTarget::NoneReachable,
+    }
+}
+
 fn least_loaded(candidates: &[Candidate<'_>]) -> Option<usize> {
     let usable = |position: &usize| candidates[*position].is_usable;
     (0..candidates.len())
@@ -356,11 +371,11 @@
     let (sum, count) = reports.fold((0_u32, 0_u32), |(sum, count), one| (sum + one, count + 1));
     let mean_others = f64::from(sum) / f64::from(count.max(1));
     let is_untried =
-        |target: &KnownTarget| target.breaker.is_closed(now) && !query.tried.contains(&target.key);
+        |target: &KnownTarget| target.is_available(now) && !query.tried.contains(&target.key);
     let has_untried = targets.iter().any(|target| is_untried(target));
     let may_repeat = query.may_repeat_target && !has_untried;
     let may_get_request =
-        |target: &KnownTarget| is_untried(target) || (may_repeat && target.breaker.is_closed(now));
+        |target: &KnownTarget| is_untried(target) || (may_repeat && target.is_available(now));
     let to_candidate = |target: &'a KnownTarget| Candidate {
         load: target.load.estimate(now, mean_others),
         is_usable: may_get_request(target),
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -179,7 +179,7 @@
         };
         let now = self.now();
         let in_use = state.directory.in_use(service);
-        let reachable = in_use.filter(|target| target.breaker.is_closed(now));
+        let reachable = in_use.filter(|target| target.is_available(now));
         gate_limits(&known, reachable, &state.traffic_share)
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -14,7 +14,7 @@
     DaemonRecord, Directory, Freshness, Mirror, TargetIncarnation, TrafficShare,
 };
 use lapismoor_core::once::Ledger;
-use lapismoor_core::retry::RetryBudget;
+use lapismoor_core::retry::{MAX_PAUSE, RetryBudget};
 use lapismoor_core::routing::{
     Chooser, ReportedLoad, RoutingConfig, Service, idle_connection_limit, profile_route,
 };
@@ -24,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::admission::AdmissionControl;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, PauseRequest};
 use crate::http::ConnectionPool;
 use crate::metrics::Metrics;
 use crate::millis::millis;
@@ -381,6 +381,47 @@
         }
     }
 
+    /// Records that a target said in an answer that it leaves. It gets no new requests, also if the
+    /// store still lists it as ready.
+    pub fn target_said_leaving(&self, target: TargetKey) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if !state.directory.record_said_leaving(now, target) {
+            return;
+        }
+        if let Some(known) = state.directory.get(target) {
+            log::info!(target:% = known.entry.id; "target_said_leaving");
+        }
+    }
+
+    /// Records that a target turned a request away and asked for a pause. Other requests that were
+    /// already sent to it may extend the pause.
+    pub fn target_wants_pause(&self, target: TargetKey, pause: &PauseRequest) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let Some(known) = state.directory.get_mut(target) else {
+            return;
+        };
+        let id = &known.entry.id;
+        let requested = match pause {
+            PauseRequest::For(time) => *time,
+            PauseRequest::Unreadable(value) => {
+                log::warn!(target:% = id, value:%; "target_pause_unreadable");
+                return;
+            }
+        };
+        let was_paused = !known.pause.left(now).is_zero();
+        let left = known.pause.record(now, requested);
+        if !was_paused && !left.is_zero() {
+            log::info!(
+                target:% = id,
+                pause_ms = millis(left),
+                is_bounded = requested > MAX_PAUSE;
+                "target_wants_pause"
+            );
+        }
+    }
+
     /// Address of an incarnation of a target, if it is listed.
     #[must_use]
     pub fn address_if_listed(&self, target: &TargetIncarnation) -> Option<SocketAddr> {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -78,6 +78,19 @@
     pub load: Option<ReportedLoad>,
     /// How long the target keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
+    /// Whether the target states that it leaves.
+    pub is_leaving: bool,
+    /// Pause that the target asks for, if it rejects the request.
+    pub pause: Option<PauseRequest>,
+}
+
+/// Pause that a target asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PauseRequest {
+    /// It wants no request for this time.
+    For(Duration),
+    /// The value is not a time.
+    Unreadable(CompactString),
 }
 
 /// Reads and writes the headers of callers and targets.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,7 +23,9 @@
 
 pub use clock::boot_clock;
 pub use context::Edge;
-pub use dialect::{AnswerMetadata, AttemptHeaders, Dialect, Envelope, EnvelopeError, ModelCall};
+pub use dialect::{
+    AnswerMetadata, AttemptHeaders, Dialect, Envelope, EnvelopeError, ModelCall, PauseRequest,
+};
 pub use listeners::Listeners;
 pub use logging::{LoggingError, start as start_logging};
 pub use settings::{EdgeSettings, FleetLimits, Tuning};
--- a/crates/edge/src/profiles/outcome.rs
+++ b/crates/edge/src/profiles/outcome.rs
@@ -46,7 +46,9 @@
 /// The failure reported for a request that no target ran.
 pub(super) fn refusal_failure(refusal: &Refusal) -> Failure {
     let (proof, kind) = match refusal {
-        Refusal::Busy => (NotRunProof::RefusedByTargets, FailureKind::NoTarget),
+        Refusal::Busy | Refusal::TargetsPaused { .. } => {
+            (NotRunProof::RefusedByTargets, FailureKind::NoTarget)
+        }
         Refusal::NoTarget | Refusal::Unreachable => {
             (NotRunProof::NeverDispatched, FailureKind::NoTarget)
         }
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::{RequestHead, ResponseHead, header};
+use actix_http::{RequestHead, ResponseHead, StatusCode, header};
 use bytes::{Bytes, BytesMut};
 use lapismoor_core::admission::Belief;
 use lapismoor_core::ids::{TargetId, TargetKey};
@@ -169,6 +169,14 @@
     job.waits_for.set(None);
     edge.target_survived(choice.target, job.sent_at.get());
     let metadata = (edge.dialect.read_answer)(head.headers());
+    if metadata.is_leaving {
+        edge.target_said_leaving(choice.target);
+    }
+    if head.status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(pause) = &metadata.pause
+    {
+        edge.target_wants_pause(choice.target, pause);
+    }
     let answer = Answer {
         target: choice.target,
         target_id,
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -133,6 +133,7 @@
     let refusal = match reason {
         NoTarget::NoneInUse => Refusal::NoTarget,
         NoTarget::NoneReachable => Refusal::Unreachable,
+        NoTarget::Paused { left } => Refusal::TargetsPaused { retry_after: *left },
     };
     refuse(job, refusal)
 }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -47,7 +47,7 @@
     pub service: ServiceId,
     /// `InUse`, `Leaving` or `Missing`.
     pub standing: CompactString,
-    /// Whether the target is paused after failures.
+    /// Whether the target is paused, after failures or because it asked for that.
     pub is_paused: bool,
     /// Whether the target's failure rate is too high.
     pub is_failing: bool,
@@ -96,7 +96,7 @@
         id: target.entry.id.clone(),
         service: target.entry.service.clone(),
         standing: compact_str::format_compact!("{:?}", target.standing),
-        is_paused: !target.breaker.is_closed(now),
+        is_paused: !target.is_available(now),
         is_failing: target.breaker.is_failing(now),
         own_requests: target.load.own_requests(),
         load_age_ms: target.load.report_age(now).map(millis),
