Weigh the reuse of a shared part against the other requests of its service

Change: the length is compared with the mean of the service's requests. Equal prompts all keep their home up to the load bound. The bounds of sparse_traffic hold as before.

--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -18,8 +18,6 @@
 /// Capacity left free below the load bound for requests of other daemons that this daemon has not
 /// seen yet.
 const BOUND_MARGIN_REQUESTS: f64 = 2.0;
-/// Length of the shared parts of a prompt from which their reuse is worth the most, in tokens.
-const LONG_PROMPT_TOKENS: f64 = 4_096.0;
 /// Load that one part may put on a home before it gets another one, as a multiple of the mean load
 /// per target.
 const MAX_MEAN_LOADS_PER_HOME: f64 = 0.5;
@@ -211,7 +209,8 @@
             .map(|candidate| candidate.target.entry.id.as_str());
         let order = rendezvous_order(part.id, names);
         let homes = self.home_count(now, query, part, candidates.len());
-        let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value(query.parts));
+        let reuse_value = self.reuse_value(query);
+        let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value);
         let fits = |position: &&usize| {
             let candidate = &candidates[**position];
             candidate.is_usable && candidate.is_healthy && candidate.load < bound
@@ -280,6 +279,14 @@
         candidate.load + if is_near { 0.0 } else { DOMAIN_COST_REQUESTS }
     }
 
+    /// How much the reuse of the shared parts is worth, from 0 to 1, compared with the other requests
+    /// of the service. A chat with a short prompt is moved at little cost, and takes as much load along
+    /// as one with a long prompt.
+    fn reuse_value(&mut self, query: &TargetQuery<'_>) -> f64 {
+        let mean = self.popularity(query.service).mean_tokens().max(1.0);
+        (f64::from(shared_tokens(query.parts)) / mean).min(1.0)
+    }
+
     /// Counts a request for `part` and returns the number of homes that its traffic share requires.
     #[expect(
         clippy::cast_precision_loss,
@@ -293,7 +300,9 @@
         part: &PromptPart,
         targets: usize,
     ) -> usize {
-        let share = self.popularity(query.service).count_request(now, part.id);
+        let share =
+            self.popularity(query.service)
+                .count_request(now, part.id, shared_tokens(query.parts));
         let homes = (share * targets as f64 / MAX_MEAN_LOADS_PER_HOME).ceil() as usize;
         homes.clamp(1, targets)
     }
@@ -336,11 +345,9 @@
     }
 }
 
-/// How much the reuse of the shared parts is worth, from 0 to 1. A chat with a short prompt is moved
-/// at little cost, and takes as much load along as one with a long prompt.
-fn reuse_value(parts: &[PromptPart]) -> f64 {
-    let tokens: u32 = shared_parts(parts).iter().map(|part| part.tokens).sum();
-    (f64::from(tokens) / LONG_PROMPT_TOKENS).min(1.0)
+fn shared_tokens(parts: &[PromptPart]) -> u32 {
+    let tokens = shared_parts(parts).iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add)
 }
 
 /// Why no candidate can get a request.
--- a/crates/core/src/routing/popularity.rs
+++ b/crates/core/src/routing/popularity.rs
@@ -19,6 +19,8 @@
 /// Number of parts whose requests are kept until they are merged elsewhere; further parts are left
 /// out.
 const MAX_UNMERGED: usize = 128;
+/// Weight of one request in the moving average of the tokens in shared parts.
+const TOKENS_WEIGHT: f64 = 0.05;
 /// Decayed count below which a part is evicted when the table is full.
 const MIN_COUNT: f64 = 0.05;
 
@@ -54,6 +56,8 @@
     parts: Vec<PartCount>,
     total: f64,
     total_updated_at: Moment,
+    /// Moving average of the tokens in the shared parts of this daemon's requests.
+    mean_tokens: Option<f64>,
     /// Own requests that were not taken for another daemon yet. Invariant: sorted by part; at most
     /// [`MAX_UNMERGED`] long.
     unmerged: Vec<PartRequests>,
@@ -63,10 +67,13 @@
 }
 
 impl Popularity {
-    /// Counts a request that uses `part`. Returns the share of all requests that the part has at
+    /// Counts a request that uses `part` and has `tokens` tokens in its shared parts. Returns the share of all requests that the part has at
     /// least, from 0 to 1.
-    pub fn count_request(&mut self, now: Moment, part: u64) -> f64 {
+    pub fn count_request(&mut self, now: Moment, part: u64, tokens: u32) -> f64 {
         self.keep_unmerged(part);
+        let tokens = f64::from(tokens);
+        let mean = self.mean_tokens.unwrap_or(tokens);
+        self.mean_tokens = Some(mean + TOKENS_WEIGHT * (tokens - mean));
         let requests = self.add(now, part, 1.0);
         let own_share = if self.total < MIN_SAMPLE_REQUESTS {
             0.0
@@ -76,6 +83,12 @@
         own_share.max(self.fleet_share(now, part))
     }
 
+    /// Mean number of tokens in the shared parts of a request; zero before the first one.
+    #[must_use]
+    pub fn mean_tokens(&self) -> f64 {
+        self.mean_tokens.unwrap_or_default()
+    }
+
     /// Returns this daemon's requests since the last call, by part.
     pub fn take_unmerged(&mut self) -> Vec<PartRequests> {
         std::mem::take(&mut self.unmerged)
