Follow a store that comes back from an older copy

On the code before, a list with a lower revision than the copy was ignored for good: each reader then listed and watched in a loop without a wait, and no change was applied until the revisions had caught up. A watch from a revision that existed again applied changes of the new state to the old one.

Change: - A revision is era and number, in the copy, the watch, and between daemons (new fields at the end of the messages). An answer of an older era is dropped, a watch that crosses the restore and a list that straddles it are repeated. - The first list of an era takes nothing out of use at once: daemons stay known, and targets have the time to be listed again that they have after an outage. It brings no target back that left before. Five seconds later, when entries of the dead have expired, everything is listed again and taken as it is. - Daemons announce themselves again, spread as at a start, and use new leases for their records. - A line store_restored with both eras, a counter, and store_era in /status. Configurations did not go back before and don't now: an older version is never put in force.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -18,8 +18,8 @@
 /// Number that a daemon assigns to an incarnation of a target when it first learns of it; never
 /// reused.
 pub type TargetKey = u64;
-/// Revision of the platform's store.
-pub type StoreRevision = u64;
+/// Number of times that the platform's store was restored from a copy.
+pub type StoreEra = u64;
 /// Version of the routing configuration; increases with each change, but not always by one.
 pub type ConfigVersion = u64;
 /// Name of a workspace.
@@ -39,6 +39,16 @@
 pub type ConfigRevision = u64;
 
 key! {
+    /// State of the platform's store. After the store was restored from a copy, it gives out numbers
+    /// again, so that only those of the same era can be compared; a later era is newer.
+    #[derive(Default)]
+    pub struct StoreRevision {
+        /// Era of the store; zero if it announces none.
+        pub era: StoreEra,
+        /// Number that increases with each change.
+        pub number: u64,
+    }
+
     /// Identifies a request within the fleet. An id that is issued to a caller before its request
     /// is called a ticket.
     ///
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -243,6 +243,25 @@
         }
     }
 
+    /// Records that the store was restored from a copy some seconds old. Entries that were written
+    /// since are missing until their targets write them again.
+    pub fn store_restored(&mut self, now: Moment) {
+        self.relisting_until = Some(now + RELIST_GRACE);
+    }
+
+    /// Applies an entry from the first list after the store was restored. The copy may still list a
+    /// target that left since as ready, so that it does not bring any back into use.
+    pub fn apply_restored(&mut self, now: Moment, entry: TargetEntry) -> DirectoryChange {
+        let known = self.find(&entry.id);
+        let is_left = known.is_some_and(|known| {
+            known.standing == Standing::Leaving && !known.is_other_incarnation(&entry)
+        });
+        if is_left {
+            return DirectoryChange::Same;
+        }
+        self.apply(now, entry)
+    }
+
     /// Marks the targets that are still missing after the grace period as leaving and returns their
     /// ids. Removes targets that left long ago and have no requests in flight from this daemon.
     pub fn sweep(&mut self, now: Moment) -> Vec<TargetId> {
--- a/crates/core/src/membership/mirror.rs
+++ b/crates/core/src/membership/mirror.rs
@@ -77,9 +77,12 @@
     }
 
     /// Applies the changes up to a revision and returns the last one of each key. Ignores changes
-    /// that are older than the copy.
+    /// that are older than the copy, or that belong to another era of the store.
     pub fn apply(&mut self, changes: Vec<StoreItem>, revision: StoreRevision) -> Vec<StoreItem> {
-        if self.revision.is_some_and(|current| current > revision) {
+        let is_applicable = |current: StoreRevision| {
+            current.era == revision.era && current.number <= revision.number
+        };
+        if !self.revision.is_none_or(is_applicable) {
             return Vec::new();
         }
         let changes = last_of_each_key(changes);
@@ -96,10 +99,12 @@
         changes
     }
 
-    /// Last change of each key after a revision; none if the history no longer reaches back to it.
+    /// Last change of each key after a revision; none if the history no longer reaches back to it,
+    /// or if it belongs to another era of the store.
     #[must_use]
     pub fn changes_since(&self, after: StoreRevision) -> Option<Vec<StoreItem>> {
-        if after < self.complete_from {
+        let is_same_era = self.revision.is_none_or(|current| current.era == after.era);
+        if after < self.complete_from || !is_same_era {
             return None;
         }
         let newer = self.changes.iter().filter(|(at, _)| *at > after);
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -55,6 +55,8 @@
     pub metrics: Metrics,
     /// Notified when the copy of the store changes.
     pub store_changed: Notify,
+    /// Notified when the store was found to be restored from a copy.
+    pub store_restored: Notify,
     /// Cancelled when the graceful shutdown begins.
     pub stopping: CancellationToken,
     /// When the graceful shutdown began; none before.
@@ -182,6 +184,7 @@
             spans,
             metrics: Metrics::default(),
             store_changed: Notify::new(),
+            store_restored: Notify::new(),
             stopping: CancellationToken::new(),
             stopping_since: Cell::new(None),
             is_first_start: Cell::new(false),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -27,6 +27,8 @@
     /// Connections opened to targets since the start.
     pub connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
+    /// Times that the store was found to be restored from a copy.
+    pub store_restores: Counter<u64>,
     retries_left: Gauge<u64>,
 }
 
@@ -86,6 +88,10 @@
                 "lapismoor.store.calls",
                 "Calls for store content, by source and outcome",
             ),
+            store_restores: counter(
+                "lapismoor.store.restores",
+                "Times that the store was found to be restored from an older copy",
+            ),
             retries_left: meter
                 .u64_gauge("lapismoor.retry.left")
                 .with_description("Retries left in the budget window after the last failed attempt")
--- a/crates/edge/src/profiles/keys.rs
+++ b/crates/edge/src/profiles/keys.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Forgets a lease that may no longer exist.
+    pub(crate) fn forget(&self) {
+        self.lease.forget();
+    }
+
     fn try_acquire(&self, now: Moment) -> Result<(), Duration> {
         self.rate.borrow_mut().take_token(now)
     }
@@ -68,7 +73,7 @@
                 return Ok(bound);
             }
             BindStep::LeaseGone => {
-                edge.key_lease.lease.forget();
+                edge.key_lease.forget();
                 return Err(store_unavailable());
             }
             BindStep::Failed(failure) => return Err(failure),
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -30,6 +30,9 @@
     pub remembered: usize,
     /// Age of the daemon's copy of the store, in milliseconds; `None` before the first read.
     pub store_age_ms: Option<u64>,
+    /// Era of the copy of the store: how often the store was restored from a copy; zero if unknown.
+    #[serde(default)]
+    pub store_era: u64,
     /// Number of callers' requests in flight.
     pub in_flight: usize,
     /// Estimated share of the fleet's traffic, from 0 to 1.
@@ -84,6 +87,7 @@
             store_bytes: edge.store.bytes.get(),
             remembered: state.ledger.len(),
             store_age_ms: state.freshness.age(now).map(millis),
+            store_era: state.mirror.revision().unwrap_or_default().era,
             in_flight: edge.in_flight.get(),
             traffic_share: state.traffic_share.get(),
             targets: targets.map(|target| target_status(target, now)).collect(),
--- a/crates/edge/src/store/announce.rs
+++ b/crates/edge/src/store/announce.rs
@@ -53,12 +53,19 @@
                 RETRY_DELAY
             }
         };
-        tokio::time::sleep(next_delay).await;
+        tokio::select! {
+            () = tokio::time::sleep(next_delay) => {}
+            () = edge.store_restored.notified() => {
+                // The lease may be lost. If it is not, the announcement is only written again.
+                lease = None;
+                tokio::time::sleep(initial_delay(&edge)).await;
+            }
+        }
     }
 }
 
-/// Spreads the writes of a whole fleet that starts at once. Delaying them is safe because the
-/// announcements from before the restart are still valid.
+/// Spreads the writes of a whole fleet that starts at once, or notices at once that the store was
+/// restored. Delaying them is safe because the announcements from before are still used.
 fn initial_delay(edge: &Edge) -> Duration {
     let fleet = edge.state.borrow().daemons.len();
     let position_permille = hash_parts(&[edge.settings.daemon.as_bytes()]) % 1_000;
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -11,9 +11,20 @@
 use super::update::StoreUpdate;
 use crate::context::Edge;
 
+/// Why an update is applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Cause {
+    /// It is part of the first full list.
+    FirstList,
+    /// It is part of the first full list after the store was restored from a copy.
+    Restored,
+    /// The store has changed.
+    Change,
+}
+
 /// Applies one update. Updates of the first full list are not logged per target and daemon; the
 /// caller logs one line for the whole list.
-pub(super) fn apply(edge: &Edge, now: Moment, update: StoreUpdate, is_first_list: bool) {
+pub(super) fn apply(edge: &Edge, now: Moment, update: StoreUpdate, cause: Cause) {
     match update {
         StoreUpdate::Configuration(config) => apply_config(edge, *config),
         StoreUpdate::Profiles(accepted) => apply_profiles(edge, accepted),
@@ -21,7 +32,7 @@
             let kept = edge.config_version();
             log::error!(key:%, reason:%, version_kept = kept; "configuration_unreadable");
         }
-        StoreUpdate::Target(entry) => apply_target(edge, now, entry, is_first_list),
+        StoreUpdate::Target(entry) => apply_target(edge, now, entry, cause),
         StoreUpdate::UnreadableTarget { id, reason } => {
             if edge.state.borrow_mut().directory.reject(now, &id) {
                 log::warn!(target:% = id, reason:%; "target_entry_unreadable");
@@ -32,7 +43,9 @@
             log::warn!(key:%, reason:%; "suspects_unreadable");
         }
         StoreUpdate::Trial(trial) => edge.state.borrow_mut().suspects.record_trial(now, trial),
-        StoreUpdate::Daemon(record) => apply_daemon(edge, record, is_first_list),
+        StoreUpdate::Daemon(record) => apply_daemon(edge, record, cause),
+        // Its announcement may be lost while it still runs.
+        StoreUpdate::DaemonGone { .. } if cause == Cause::Restored => {}
         StoreUpdate::DaemonGone { id } => {
             log::info!(peer:% = id; "daemon_gone");
             edge.state
@@ -83,15 +96,19 @@
     log::warn!(version, version_kept; "configuration_older_ignored");
 }
 
-fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry, is_first_list: bool) {
+fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry, cause: Cause) {
     let mut state = edge.state.borrow_mut();
     let id = entry.id.clone();
     let previous = state
         .directory
         .find(&id)
         .map(|target| target.entry.incarnation());
-    let change = state.directory.apply(now, entry);
-    if change == DirectoryChange::Same || is_first_list {
+    let change = if cause == Cause::Restored {
+        state.directory.apply_restored(now, entry)
+    } else {
+        state.directory.apply(now, entry)
+    };
+    if change == DirectoryChange::Same || cause == Cause::FirstList {
         return;
     }
     drop(state);
@@ -103,7 +120,7 @@
     }
 }
 
-fn apply_daemon(edge: &Edge, record: DaemonRecord, is_first_list: bool) {
+fn apply_daemon(edge: &Edge, record: DaemonRecord, cause: Cause) {
     if record.id == edge.settings.daemon && record.incarnation != edge.incarnation() {
         edge.found_predecessor();
     }
@@ -111,7 +128,7 @@
     match daemons.binary_search_by(|known| known.id.cmp(&record.id)) {
         Ok(position) => daemons[position] = record,
         Err(position) => {
-            if !is_first_list {
+            if cause != Cause::FirstList {
                 log::info!(peer:% = record.id, domain:% = record.domain; "daemon_listed");
             }
             daemons.insert(position, record);
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
-use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::ids::{DaemonId, StoreRevision};
 use lapismoor_core::membership::{Source, Sources, StoreItem, max_source_age};
 
-use super::apply::apply;
+use super::apply::{Cause, apply};
 use super::client::{Consistency, StoreClient, StoreError};
 use super::source_client::{SourceAnswer, SourceClient};
+use super::update::StoreUpdate;
 use crate::context::Edge;
 use crate::millis::millis;
 
@@ -29,6 +30,11 @@
 /// start within 0.3 s of each other.
 const FIRST_START_WAIT: Duration = Duration::from_millis(700);
 
+/// Time after which everything is listed again once the store was restored. By then, daemons and
+/// targets have written their entries again, and entries of targets that were gone have expired:
+/// three heartbeat intervals of a target.
+const RESTORE_SETTLING_TIME: Duration = Duration::from_secs(5);
+
 /// State of the follow loop.
 struct Follower {
     sources: Sources,
@@ -36,6 +42,8 @@
     /// Revision to continue from; `None` if everything must be read again.
     revision: Option<StoreRevision>,
     started_at: Moment,
+    /// When everything is listed again because the store was restored.
+    relist_at: Option<Moment>,
     /// Whether the last answer had changes, so that more may follow soon.
     had_changes: bool,
     /// Source of the last answer.
@@ -56,6 +64,7 @@
         source: Source::Store,
         revision: None,
         started_at: edge.now(),
+        relist_at: None,
         had_changes: false,
         last_answered_by: Source::Store,
         is_failing: false,
@@ -64,6 +73,7 @@
     load_daemons(&edge, &client).await;
     loop {
         follower.choose_source(&edge);
+        follower.relist_if_due(edge.now());
         let wait = follower.poll_wait(&edge);
         let answer = source_client
             .fetch(&edge, &follower.source, follower.revision, wait)
@@ -99,7 +109,7 @@
     match listed {
         Ok(Ok(items)) => {
             for update in items.iter().filter_map(client.decode) {
-                apply(edge, edge.now(), update, true);
+                apply(edge, edge.now(), update, Cause::FirstList);
             }
             Some(items.len())
         }
@@ -152,7 +162,8 @@
         is_starting && self.revision.is_none() && matches!(self.source, Source::Daemon(_))
     }
 
-    /// Rejects an answer of another daemon that is too old, as when that daemon has lost the store.
+    /// Rejects an answer of another daemon that is too old, as when that daemon has lost the store or
+    /// has not noticed that it was restored.
     fn check_freshness(
         &self,
         edge: &Edge,
@@ -167,6 +178,12 @@
                 reason: "the daemon's copy of the store is too old".into(),
             });
         }
+        let copy = edge.state.borrow().mirror.revision();
+        if copy.is_some_and(|copy| copy.era > answer.revision.era) {
+            return Err(StoreError::Unavailable {
+                reason: "the daemon has not noticed that the store was restored".into(),
+            });
+        }
         Ok(answer)
     }
 
@@ -196,11 +213,22 @@
         self.is_failing = false;
         self.retry_delay = Duration::ZERO;
         self.last_answered_by = self.source.clone();
-        let is_first_list = !edge.state.borrow().has_loaded_targets;
+        let is_list = self.revision.is_none();
+        let cause = self.cause_of_updates(edge, answer.revision);
+        let is_first_list = cause == Cause::FirstList;
         let items = self.update_mirror(edge, now, answer);
         self.had_changes = !items.is_empty();
         for update in items.iter().filter_map(client.decode) {
-            apply(edge, now, update, is_first_list);
+            apply(edge, now, update, cause);
+        }
+        if cause == Cause::Restored {
+            self.relist_at = Some(now + RESTORE_SETTLING_TIME);
+            // The leases of this daemon's records may be lost; new records get new ones.
+            edge.suspects_lease.forget();
+            edge.key_lease.forget();
+            edge.store_restored.notify_waiters();
+        } else if is_list {
+            forget_unlisted_daemons(edge, client);
         }
         if is_first_list {
             let state = edge.state.borrow();
@@ -208,7 +236,8 @@
                 source:% = source_name(&self.source),
                 targets = state.directory.targets().len() as u64,
                 daemons = state.daemons.len() as u64,
-                revision = self.revision;
+                revision = self.revision.map(|revision| revision.number),
+                store_era = self.revision.map(|revision| revision.era);
                 "everything_listed"
             );
         }
@@ -220,6 +249,39 @@
         }
     }
 
+    /// Why the items of an answer are applied. Logs when the store was restored from a copy.
+    fn cause_of_updates(&self, edge: &Edge, revision: StoreRevision) -> Cause {
+        let mut state = edge.state.borrow_mut();
+        if !state.has_loaded_targets {
+            return Cause::FirstList;
+        }
+        let Some(copy) = state.mirror.revision() else {
+            return Cause::Change;
+        };
+        if copy.era >= revision.era {
+            return Cause::Change;
+        }
+        state.directory.store_restored(edge.now());
+        log::warn!(
+            source:% = source_name(&self.source),
+            era = revision.era,
+            era_before = copy.era,
+            revision = revision.number,
+            revision_before = copy.number;
+            "store_restored"
+        );
+        edge.metrics.store_restores.add(1, &[]);
+        Cause::Restored
+    }
+
+    /// Lists everything again some time after the store was restored.
+    fn relist_if_due(&mut self, now: Moment) {
+        if self.relist_at.is_some_and(|at| now >= at) {
+            self.relist_at = None;
+            self.revision = None;
+        }
+    }
+
     /// Stores an answer in the mirror and returns the items that changed.
     fn update_mirror(&mut self, edge: &Edge, now: Moment, answer: SourceAnswer) -> Vec<StoreItem> {
         let mut state = edge.state.borrow_mut();
@@ -243,7 +305,11 @@
 
     async fn on_failure(&mut self, edge: &Edge, error: &StoreError) {
         if *error == StoreError::HistoryGone {
-            log::info!(source:% = source_name(&self.source), revision = self.revision; "store_history_gone");
+            log::info!(
+                source:% = source_name(&self.source),
+                revision = self.revision.map(|revision| revision.number);
+                "store_history_gone"
+            );
             if self.revision.take().is_some() {
                 return;
             }
@@ -271,6 +337,24 @@
     }
 }
 
+/// Forgets daemons that are no longer announced. The first list after the store was restored does not
+/// remove them, because their announcements may be lost while they still run.
+fn forget_unlisted_daemons(edge: &Edge, client: &StoreClient) {
+    let mut state = edge.state.borrow_mut();
+    let state = &mut *state;
+    let listed = state.mirror.items().iter().filter_map(client.decode);
+    let mut listed: Vec<DaemonId> = listed
+        .filter_map(|update| match update {
+            StoreUpdate::Daemon(record) => Some(record.id),
+            _ => None,
+        })
+        .collect();
+    listed.sort();
+    state
+        .daemons
+        .retain(|daemon| listed.binary_search(&daemon.id).is_ok());
+}
+
 fn source_name(source: &Source) -> &str {
     match source {
         Source::Store => "store",
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -5,7 +5,7 @@
   list @0 () -> (answer :Answer);
   # Everything as the daemon knows it.
 
-  watch @1 (after :UInt64, waitMs :UInt32) -> (answer :Answer);
+  watch @1 (after :UInt64, waitMs :UInt32, era :UInt64) -> (answer :Answer);
   # Changes after a position, as soon as there are any, or none after the wait.
 
   report @2 (items :List(Item)) -> ();
@@ -28,6 +28,9 @@
 
   heldMs @4 :UInt64;
   # Time that the call was held before the answer.
+
+  era @5 :UInt64;
+  # Number of times that the store was restored from a copy; the revision belongs to it.
 }
 
 struct Item {
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -114,7 +114,8 @@
         wait: Duration,
     ) -> Result<MirrorAnswer, MirrorError> {
         let mut call = self.mirror.watch_request();
-        call.get().set_after(after);
+        call.get().set_after(after.number);
+        call.get().set_era(after.era);
         call.get()
             .set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
         let response = call.send().promise.await.context(CallSnafu)?;
@@ -161,7 +162,10 @@
     let items = answer.get_items().context(CallSnafu)?;
     Ok(MirrorAnswer {
         items: read_items(items).context(CallSnafu)?,
-        revision: answer.get_revision(),
+        revision: StoreRevision {
+            era: answer.get_era(),
+            number: answer.get_revision(),
+        },
         age: Duration::from_millis(answer.get_age_ms()),
         held: Duration::from_millis(answer.get_held_ms()),
     })
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -95,7 +95,11 @@
     ) -> capnp::Result<()> {
         let request = params.get()?;
         let wait = Duration::from_millis(request.get_wait_ms().into());
-        let answer = (self.source.watch)(request.get_after(), wait).await;
+        let after = StoreRevision {
+            era: request.get_era(),
+            number: request.get_after(),
+        };
+        let answer = (self.source.watch)(after, wait).await;
         write_answer(answer, results.get().init_answer())
     }
 
@@ -138,7 +142,8 @@
     let count = u32::try_from(answer.items.len())
         .map_err(|_| capnp::Error::failed("too many items for one answer".into()))?;
     out.set_is_known(true);
-    out.set_revision(answer.revision);
+    out.set_revision(answer.revision.number);
+    out.set_era(answer.revision.era);
     out.set_age_ms(millis(answer.age) + 1);
     out.set_held_ms(millis(answer.held));
     write_items(&answer.items, out.init_items(count));
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -6,12 +6,17 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
+use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations, PartRequests, PartShare, TargetLoad};
 use lapismoor_mirror::{ByteCounter, MirrorAnswer, MirrorClient, MirrorError, MirrorSource, serve};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
+fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 2, number }
+}
+
 fn answer() -> MirrorAnswer {
     let item = |key: &str, value: Option<&'static [u8]>| StoreItem {
         key: key.into(),
@@ -23,7 +28,7 @@
             item("b", None),
             item("c", Some(b"")),
         ],
-        revision: 7,
+        revision: at(7),
         age: Duration::from_millis(250),
         held: Duration::from_millis(400),
     }
@@ -33,7 +38,7 @@
 fn source() -> MirrorSource {
     MirrorSource {
         list: Rc::new(|| async { Some(answer()) }.boxed_local()),
-        watch: Rc::new(|after, _| async move { (after >= 3).then(answer) }.boxed_local()),
+        watch: Rc::new(|after, _| async move { (after >= at(3)).then(answer) }.boxed_local()),
         report: Rc::new(|records| REPORTED.with_borrow_mut(|reported| reported.extend(records))),
         exchange: Rc::new(|observations, since| {
             assert_eq!(since, Duration::from_millis(550));
@@ -103,7 +108,7 @@
                 ..answer()
             };
             assert_eq!(client.list().await.expect("the call succeeds"), expected);
-            let changes = client.watch(5, Duration::from_millis(400)).await;
+            let changes = client.watch(at(5), Duration::from_millis(400)).await;
             assert_eq!(changes.expect("the call succeeds"), expected);
         })
         .await;
@@ -130,7 +135,7 @@
     LocalSet::new()
         .run_until(async {
             let client = connected_client().await;
-            let gap = client.watch(2, Duration::ZERO).await;
+            let gap = client.watch(at(2), Duration::ZERO).await;
             assert!(matches!(gap, Err(MirrorError::HistoryUnavailable)));
             assert!(client.list().await.is_ok(), "the connection stays usable");
         })
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use compact_str::format_compact;
 use lapismoor_core::Moment;
+use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::{
     DaemonRecord, Directory, Mirror, Sources, StoreItem, TargetEntry, TargetState,
 };
@@ -146,7 +147,7 @@
     let items: Vec<StoreItem> = (0..targets).map(item).collect();
     let start = Instant::now();
     let mut mirror = Mirror::default();
-    black_box(mirror.replace(items, 1));
+    black_box(mirror.replace(items, StoreRevision { era: 1, number: 1 }));
     let mut directory = Directory::default();
     for number in 0..targets {
         directory.apply(Moment::ZERO, target_entry(number));
