Let requests wait for the first configuration of a daemon that has just started

Cause, from the logs: a daemon listens 0.02 s after its start and has its configuration after 0.45 s, a large one of 1,449 routes through another daemon. Until then it refused every request with a Retry-After of one second, so that all callers came back together, at most a third of their time later. Ruled out: the time of the process to start (0.02 s), and the store (readers had everything after 0.06 s).

A daemon that stays without one refuses at once, as before.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -38,7 +38,7 @@
     /// Settings from the start of the daemon; they don't change.
     pub settings: EdgeSettings,
     /// When the daemon started.
-    started_at: Moment,
+    pub started_at: Moment,
     /// Monotonic clock that also counts time in which the VM is suspended.
     pub clock: Clock,
     /// Translates headers of callers and targets.
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -15,7 +15,7 @@
 
 use actix_web::web::Payload;
 use actix_web::{HttpRequest, HttpResponse};
-use lapismoor_core::admission::{Priority, Refusal};
+use lapismoor_core::admission::{Priority, Refusal, wait_for_configuration};
 use lapismoor_core::ids::hash_parts;
 use lapismoor_core::routing::{AffinityPreference, Route, RoutingConfig, Workspace};
 
@@ -36,6 +36,7 @@
         Ok(envelope) => envelope,
         Err(error) => return responses::malformed(&edge, &error),
     };
+    edge.configuration_loaded().await;
     let authorized = match authorize(&edge, &request, &envelope) {
         Ok(authorized) => authorized,
         Err(refusal) => {
@@ -139,6 +140,25 @@
 }
 
 impl Edge {
+    /// Waits for the first configuration if this daemon has just started.
+    async fn configuration_loaded(&self) {
+        if self.config().is_some() {
+            return;
+        }
+        let loaded = async {
+            loop {
+                let changed = self.store_changed.notified();
+                if self.config().is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        let wait = wait_for_configuration(self.now(), self.started_at);
+        // Without a configuration by then, the request is refused.
+        drop(tokio::time::timeout(wait, loaded).await);
+    }
+
     /// Replaces `refusal` by `StaleConfiguration` if the store was not heard from for too long: a
     /// route or key that is unknown here may then be in the store already.
     fn unless_stale(&self, refusal: Refusal) -> Refusal {
