Expect an even share of the traffic before targets report their load

Cause: until targets report their load, a daemon expects an eighth of the traffic, as in a fleet of eight. In a fleet of 195 whose daemons all start at once, the parts of the retry budget's slack add up to 24 times of it, and the shares converge only after some dozens of reports.

Change: the expected share is even over the announced daemons, at most an eighth.

Test: fleet_limits, retries_stay_within_the_budget_from_the_start, at 6, 195 and 400 daemons; the last two fail before.

--- a/crates/core/tests/fleet_limits.rs
+++ b/crates/core/tests/fleet_limits.rs
@@ -82,6 +82,35 @@
     );
 }
 
+/// All daemons start at once, and every attempt fails from the first second on. Guards against a share
+/// that is too large until targets have reported their load.
+#[test_case(6, 74, 52)]
+#[test_case(195, 670, 430)]
+#[test_case(400, 6_000, 880)]
+fn retries_stay_within_the_budget_from_the_start(daemons: u32, requests_per_s: u32, slack: u32) {
+    let mut share = TrafficShare::default();
+    share.expect_even(usize::try_from(daemons).expect("small"));
+    let mut budget = RetryBudget::new(RetryBudgetSettings {
+        fleet_slack: slack,
+        ..settings()
+    });
+    let mut retries = 0;
+    let requests = requests_per_s * 10 / daemons;
+    let interval = Duration::from_secs(10) / requests;
+    for index in 0..requests {
+        let now = interval * index;
+        budget.count_request(now);
+        while budget.take_retry(now, &share) {
+            retries += 1;
+        }
+        // An answer reports this request and one of another daemon.
+        share.record(1, 2);
+    }
+    let allowed = f64::from(requests * daemons) * 0.2 + f64::from(slack);
+    let actual = f64::from(retries * daemons);
+    assert!(actual <= allowed, "{actual} retries, {allowed} allowed");
+}
+
 #[test]
 fn retry_budget_recovers_after_the_window() {
     let share = TrafficShare::default();
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -241,6 +241,7 @@
                 "everything_listed"
             );
         }
+        expect_even_share(edge);
         if self.had_changes {
             edge.store_changed.notify_waiters();
             if self.source == Source::Store {
@@ -337,6 +338,13 @@
     }
 }
 
+/// Until targets report their load, the traffic is expected to be even over the announced daemons.
+fn expect_even_share(edge: &Edge) {
+    let mut state = edge.state.borrow_mut();
+    let daemons = state.daemons.len();
+    state.traffic_share.expect_even(daemons);
+}
+
 /// Forgets daemons that are no longer announced. The first list after the store was restored does not
 /// remove them, because their announcements may be lost while they still run.
 fn forget_unlisted_daemons(edge: &Edge, client: &StoreClient) {
