--- a/crates/core/src/routing/popularity.rs
+++ b/crates/core/src/routing/popularity.rs
@@ -67,8 +67,8 @@
 }
 
 impl Popularity {
-    /// Counts a request that uses `part` and has `tokens` tokens in its shared parts. Returns the share of all requests that the part has at
-    /// least, from 0 to 1.
+    /// Counts a request that uses `part` and has `tokens` tokens in its shared parts. Returns the
+    /// share of all requests that the part has at least, from 0 to 1.
     pub fn count_request(&mut self, now: Moment, part: u64, tokens: u32) -> f64 {
         self.keep_unmerged(part);
         let tokens = f64::from(tokens);
