--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -39,8 +39,8 @@
 pub type ConfigRevision = u64;
 
 key! {
-    /// State of the platform's store. After the store was restored from a copy, it gives out numbers
-    /// again, so that only those of the same era can be compared; a later era is newer.
+    /// State of the platform's store. After the store was restored from a copy, it gives out
+    /// numbers again, so that only those of the same era can be compared; a later era is newer.
     #[derive(Default)]
     pub struct StoreRevision {
         /// Era of the store; zero if it announces none.
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -76,7 +76,8 @@
     targets: Vec<KnownTarget>,
     last_key: TargetKey,
     /// Incarnations that said in an answer that they leave. The store may list them as ready for
-    /// longer, or again after it was restored. Invariant: sorted; at most [`MAX_SAID_LEAVING`] long.
+    /// longer, or again after it was restored. Invariant: sorted; at most [`MAX_SAID_LEAVING`]
+    /// long.
     said_leaving: Vec<(TargetIncarnation, SocketAddr, Moment)>,
     /// End of the grace period for entries that expired during an outage of the store.
     relisting_until: Option<Moment>,
@@ -131,8 +132,8 @@
         })
     }
 
-    /// Whether a target announced its end, so that it exits as planned: it is draining, or its entry
-    /// was removed and it kept running for the time that leaving targets have.
+    /// Whether a target announced its end, so that it exits as planned: it is draining, or its
+    /// entry was removed and it kept running for the time that leaving targets have.
     #[must_use]
     pub fn is_exit_planned(&self, now: Moment, key: TargetKey) -> bool {
         self.get(key).is_some_and(|target| {
--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -126,7 +126,8 @@
     }
 
     /// Daemons with which this one exchanges what it has collected, if others read from it: the
-    /// first reader of each domain with each other, and the second one with the first of its domain.
+    /// first reader of each domain with each other, and the second one with the first of its
+    /// domain.
     #[must_use]
     pub fn collectors(&self, daemons: &[DaemonRecord]) -> Vec<DaemonRecord> {
         if daemons.len() <= SMALL_FLEET {
--- a/crates/core/src/retry/pause.rs
+++ b/crates/core/src/retry/pause.rs
@@ -1,6 +1,7 @@
 //! Pause that a target asks for when it turns a request away.
 //!
-//! Unlike the circuit breaker, it says nothing about the health of the target, and its end is known.
+//! Unlike the circuit breaker, it says nothing about the health of the target, and its end is
+//! known.
 
 use std::time::Duration;
 
@@ -17,8 +18,8 @@
 }
 
 impl Pause {
-    /// Records that the target wants no request for the time `requested`. Returns the time for which
-    /// it gets none. A shorter pause does not end a longer one.
+    /// Records that the target wants no request for the time `requested`. Returns the time for
+    /// which it gets none. A shorter pause does not end a longer one.
     pub fn record(&mut self, now: Moment, requested: Duration) -> Duration {
         let until = now + requested.min(MAX_PAUSE);
         self.until = self.until.max(Some(until));
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -279,9 +279,9 @@
         candidate.load + if is_near { 0.0 } else { DOMAIN_COST_REQUESTS }
     }
 
-    /// How much the reuse of the shared parts is worth, from 0 to 1, compared with the other requests
-    /// of the service. A chat with a short prompt is moved at little cost, and takes as much load along
-    /// as one with a long prompt.
+    /// How much the reuse of the shared parts is worth, from 0 to 1, compared with the other
+    /// requests of the service. A chat with a short prompt is moved at little cost, and takes as
+    /// much load along as one with a long prompt.
     fn reuse_value(&mut self, query: &TargetQuery<'_>) -> f64 {
         let mean = self.popularity(query.service).mean_tokens().max(1.0);
         (f64::from(shared_tokens(query.parts)) / mean).min(1.0)
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -6,8 +6,8 @@
 
 use crate::clock::Moment;
 
-/// Age at which a load report is no longer used. Most streams end within this time, but a home keeps
-/// getting the requests of its parts, so that an older report still says more than the mean.
+/// Age at which a load report is no longer used. Most streams end within this time, but a home
+/// keeps getting the requests of its parts, so that an older report still says more than the mean.
 const REPORT_TTL: Duration = Duration::from_secs(4);
 
 value! {
--- a/crates/core/src/routing/popularity.rs
+++ b/crates/core/src/routing/popularity.rs
@@ -187,8 +187,8 @@
     }
 }
 
-/// The count less its standard error. A part that was seen once or twice among a few requests may be
-/// rare, and each home that it gets in vain processes it again.
+/// The count less its standard error. A part that was seen once or twice among a few requests may
+/// be rare, and each home that it gets in vain processes it again.
 fn proven_requests(count: f64) -> f64 {
     (count - count.sqrt()).max(0.0)
 }
--- a/crates/core/tests/fleet_limits.rs
+++ b/crates/core/tests/fleet_limits.rs
@@ -82,8 +82,8 @@
     );
 }
 
-/// All daemons start at once, and every attempt fails from the first second on. Guards against a share
-/// that is too large until targets have reported their load.
+/// All daemons start at once, and every attempt fails from the first second on. Guards against a
+/// share that is too large until targets have reported their load.
 #[test_case(6, 74, 52)]
 #[test_case(195, 670, 430)]
 #[test_case(400, 6_000, 880)]
--- a/crates/core/tests/fleet_sample.rs
+++ b/crates/core/tests/fleet_sample.rs
@@ -156,8 +156,8 @@
     assert_eq!(relayed.loads.len(), 1, "collectors pass them on");
 }
 
-/// Thirty daemons see one request for a part each, in the traffic of three hundred requests. None of
-/// them can tell that the part is popular.
+/// Thirty daemons see one request for a part each, in the traffic of three hundred requests. None
+/// of them can tell that the part is popular.
 #[test]
 fn part_that_is_popular_in_the_fleet_gets_further_homes_everywhere() {
     let mut collector = daemon(60);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -128,7 +128,8 @@
         self.load_age.record(age.as_secs_f64(), &[]);
     }
 
-    /// Counts a call to the store, to a daemon that mirrors it, or to one that collects observations.
+    /// Counts a call to the store, to a daemon that mirrors it, or to one that collects
+    /// observations.
     pub fn count_store_call(&self, source: &'static str, is_answered: bool) {
         let outcome = if is_answered { "answered" } else { "failed" };
         let labels = [
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -86,9 +86,10 @@
 }
 
 /// Loads the announced daemons, so that the first full list can be read from one of them. After a
-/// restart of the whole fleet, the announcements from before it are still in the store. If there are
-/// none, the fleet starts for the first time: the daemons announce themselves at once, and wait for
-/// the announcements of the others. Otherwise each of them would read everything from the store.
+/// restart of the whole fleet, the announcements from before it are still in the store. If there
+/// are none, the fleet starts for the first time: the daemons announce themselves at once, and wait
+/// for the announcements of the others. Otherwise each of them would read everything from the
+/// store.
 async fn load_daemons(edge: &Edge, client: &StoreClient) {
     if list_daemons(edge, client, Consistency::MayBeStale).await != Some(0) {
         return;
@@ -162,8 +163,8 @@
         is_starting && self.revision.is_none() && matches!(self.source, Source::Daemon(_))
     }
 
-    /// Rejects an answer of another daemon that is too old, as when that daemon has lost the store or
-    /// has not noticed that it was restored.
+    /// Rejects an answer of another daemon that is too old, as when that daemon has lost the store
+    /// or has not noticed that it was restored.
     fn check_freshness(
         &self,
         edge: &Edge,
@@ -345,8 +346,8 @@
     state.traffic_share.expect_even(daemons);
 }
 
-/// Forgets daemons that are no longer announced. The first list after the store was restored does not
-/// remove them, because their announcements may be lost while they still run.
+/// Forgets daemons that are no longer announced. The first list after the store was restored does
+/// not remove them, because their announcements may be lost while they still run.
 fn forget_unlisted_daemons(edge: &Edge, client: &StoreClient) {
     let mut state = edge.state.borrow_mut();
     let state = &mut *state;
