Log why an interruption stops to count, and where a caller left

What callers saw: nothing changes for them. The change: crash_refuted with fingerprint, target and sign; caller_left has fingerprint and target, so that explain lists both. No decision depends on them. Tests: refuted_interruptions_are_named_once, and the history of a suspect has the new line.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -193,16 +193,26 @@
     }
 
     /// Records that a target answered a request that was sent at `sent_at`, or accepted a connection
-    /// opened then: it did not crash before, unless it has restarted since.
-    pub fn record_answer(&mut self, target: &TargetIncarnation, sent_at: Moment) {
+    /// opened then: it did not crash before, unless it has restarted since. Returns the requests whose
+    /// interruption there counted until now.
+    pub fn record_answer(
+        &mut self,
+        target: &TargetIncarnation,
+        sent_at: Moment,
+    ) -> Vec<Fingerprint> {
+        let mut refuted = Vec::new();
         for record in &mut self.records {
             let is_refuted = record.target == *target
                 && record.noted_at < sent_at
                 && matches!(record.belief, Belief::Presumed | Belief::Silent);
             if is_refuted {
+                if record.counts() {
+                    refuted.push(record.fingerprint);
+                }
                 record.belief = Belief::Alive;
             }
         }
+        refuted
     }
 
     /// Targets that are only presumed to have crashed under a request.
@@ -226,15 +236,17 @@
     /// Judges interruptions whose [`CONFIRMATION_WINDOW`] has passed by whether the target is still
     /// listed, and drops expired ones. The copy of the store was last confirmed at
     /// `copy_confirmed_at` and has not been interrupted since `copy_stable_since`: the entry of a
-    /// crashed target may not expire while the store is unavailable.
+    /// crashed target may not expire while the store is unavailable. Returns the interruptions that
+    /// counted until now although their target kept running.
     pub fn settle(
         &mut self,
         now: Moment,
         copy_confirmed_at: Option<Moment>,
         copy_stable_since: Moment,
         is_listed: impl Fn(&TargetIncarnation) -> bool,
-    ) {
+    ) -> Vec<Withdrawal> {
         let mut refuted = Vec::new();
+        let mut stopped_counting = Vec::new();
         let witness = self.witness;
         self.records.retain_mut(|record| {
             let due_at = record.noted_at.max(copy_stable_since) + CONFIRMATION_WINDOW;
@@ -249,6 +261,9 @@
                 record.belief = Belief::Confirmed;
                 return true;
             }
+            if record.counts() {
+                stopped_counting.push(Withdrawal::of(record));
+            }
             let is_to_share = record.witness == witness && record.shared_occurrences > 0;
             refuted.push((Withdrawal::of(record), is_to_share));
             false
@@ -260,6 +275,7 @@
             .retain(|(_, at)| now.saturating_sub(*at) < MAX_BAN);
         self.trials
             .retain(|(_, at)| now.saturating_sub(*at) < MAX_BAN);
+        stopped_counting
     }
 
     /// Clears a request that was answered. Returns the number of targets that counted against it.
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -189,6 +189,26 @@
     assert_eq!(suspects.ban(ms(1_200), 7), None);
 }
 
+/// Guards against interruptions that stop to count unseen: each sign of life names the requests that it
+/// concerns, once.
+#[test]
+fn refuted_interruptions_are_named_once() {
+    let mut suspects = Suspects::default();
+    suspects.record_interrupted_attempt(ms(1_010), attempt(7, 1, 1_000));
+    let mut silent = attempt(8, 1, 1_000);
+    silent.belief = Belief::Silent;
+    suspects.record_interrupted_attempt(ms(1_010), silent);
+    assert_eq!(suspects.record_answer(&target(1), ms(1_020)), [7]);
+    let again = suspects.record_answer(&target(1), ms(1_030));
+    assert_eq!(again, Vec::<Fingerprint>::new());
+
+    suspects.record_interrupted_attempt(ms(2_010), attempt(7, 2, 2_000));
+    let now = ms(2_010) + CONFIRMATION_WINDOW;
+    let refuted = suspects.settle(now, Some(now), Moment::ZERO, |_| true);
+    let refuted: Vec<Fingerprint> = refuted.iter().map(|refuted| refuted.fingerprint).collect();
+    assert_eq!(refuted, [7], "the one at target 1 stopped to count before");
+}
+
 #[test]
 fn interrupted_attempt_without_a_crash_does_not_count() {
     let mut suspects = Suspects::default();
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -454,13 +454,38 @@
     /// Records that a target answered a request sent at `sent_at`, which refutes the suspicion
     /// against requests that were interrupted there before.
     pub fn target_survived(&self, target: TargetKey, sent_at: Moment) {
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        if state.suspects.has_unconfirmed()
-            && let Some(known) = state.directory.get(target)
+        if self.state.borrow().suspects.has_unconfirmed()
+            && let Some(incarnation) = self.incarnation_of(target)
         {
-            let incarnation = known.entry.incarnation();
-            state.suspects.record_answer(&incarnation, sent_at);
+            self.sign_of_life(&incarnation, sent_at, "answer");
+        }
+    }
+
+    /// Records a sign of life of a target, in answer to what was sent at `sent_at`.
+    pub fn sign_of_life(&self, target: &TargetIncarnation, sent_at: Moment, sign: &str) {
+        let refuted = {
+            let mut state = self.state.borrow_mut();
+            state.suspects.record_answer(target, sent_at)
+        };
+        for fingerprint in refuted {
+            self.log_refuted(fingerprint, &target.id, sign);
+        }
+    }
+
+    /// Logs that an interruption no longer counts, if others against the same request still do.
+    pub fn log_refuted(&self, fingerprint: Fingerprint, target: &TargetId, sign: &str) {
+        let standing = {
+            let state = self.state.borrow();
+            state.suspects.standing(self.now(), fingerprint)
+        };
+        if standing.crashes > 0 {
+            log::info!(
+                fingerprint:% = format_args!("{fingerprint:016x}"),
+                target:%,
+                sign,
+                crashes = standing.crashes as u64;
+                "crash_refuted"
+            );
         }
     }
 
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -182,9 +182,12 @@
 pub(crate) fn caller_left(job: &Job) {
     let edge = &job.edge;
     edge.metrics.count_failed("caller_left");
+    let sent_to = job.sent_to.borrow();
     log::info!(
         request:% = job.request.envelope.id,
         service:% = job.request.service,
+        fingerprint:% = format_args!("{:016x}", job.fingerprint),
+        target = sent_to.as_ref().map(|target| target.id.as_str()),
         is_delivering = job.is_delivering,
         runs = job.progress.runs,
         sends = job.progress.sends,
--- a/crates/edge/src/serve/suspicion.rs
+++ b/crates/edge/src/serve/suspicion.rs
@@ -47,8 +47,7 @@
         });
         let answers = futures::future::join_all(checks).await;
         for (target, asked_at) in answers.into_iter().flatten() {
-            let suspects = &mut edge.state.borrow_mut().suspects;
-            suspects.record_answer(target, asked_at);
+            edge.sign_of_life(target, asked_at, "connection");
         }
         self.verdict()
     }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -214,19 +214,23 @@
         let now = edge.now();
         edge.connections.close_expired(now);
         edge.state.borrow_mut().ledger.sweep(now);
-        let expired = {
+        let (expired, refuted) = {
             let mut state = edge.state.borrow_mut();
             let state = &mut *state;
             let confirmed_at = state.freshness.confirmed_at();
             let stable_since = state.store_stable_since;
             let directory = &state.directory;
-            state
+            let refuted = state
                 .suspects
                 .settle(now, confirmed_at, stable_since, |target| {
                     directory.is_listed(target)
                 });
-            state.directory.sweep(now)
+            (state.directory.sweep(now), refuted)
         };
+        for interruption in refuted {
+            let target = &interruption.target.id;
+            edge.log_refuted(interruption.fingerprint, target, "still_listed");
+        }
         for id in expired {
             log::info!(target:% = id; "target_given_up");
         }
--- a/crates/edge/tests/history.rs
+++ b/crates/edge/tests/history.rs
@@ -22,6 +22,7 @@
   2.9 edge-1 {"daemon":"edge-1","event":"caller_left","request":"r-gone","held_ms":3000,"time_ms":9900}
   3.0 edge-2 {"daemon":"edge-2","event":"crash_suspected","fingerprint":"00c0","crashes":2,"target":"i-7","time_ms":1500}
   3.0 edge-2 {"daemon":"edge-2","event":"crash_suspected","fingerprint":"00c1","crashes":1,"target":"i-7","time_ms":1500}
+  3.0 edge-2 {"daemon":"edge-2","event":"crash_refuted","fingerprint":"00c0","crashes":1,"target":"i-7","time_ms":1600}
   3.1 edge-1 {"daemon":"edge-1","event":"refused_as_suspect","request":"r-same","fingerprint":"00c0","time_ms":30000}
   3.1 edge-1 {"daemon":"edge-1","event":"refused","request":"r-same","reason":"crashes_targets","time_ms":30001}
 not a line of a daemon
@@ -76,7 +77,13 @@
         .iter()
         .map(|line| (line.event.as_str(), line.text("fingerprint")))
         .collect();
-    assert_eq!(actual, [("crash_suspected", Some("00c0"))]);
+    assert_eq!(
+        actual,
+        [
+            ("crash_suspected", Some("00c0")),
+            ("crash_refuted", Some("00c0")),
+        ]
+    );
 }
 
 #[test]
