--- a/crates/demo/src/crashing.rs
+++ b/crates/demo/src/crashing.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::ClientRequest;
+use futures::StreamExt;
 use lapismoor_adapter_standin::RunRecord;
 use serde_json::{Value, json};
 
@@ -58,21 +60,15 @@
     text: &str,
     identity: Identity,
 ) -> CrashingAnswer {
-    let content = format!("marker:{marker} {text}");
-    let body = json!({"stream": true, "messages": [{"role": "user", "content": content}]});
     let request_id = format!("{:032x}", rand::random::<u128>());
     let client = awc::Client::builder().timeout(REQUEST_TIMEOUT).finish();
-    let mut request = client
-        .post(format!("http://{address}/v1/chat/completions"))
-        .insert_header(("authorization", format!("Bearer {API_KEY}")))
-        .insert_header(("x-profile", "shop-counter"))
-        .insert_header(("x-chat-id", marker))
+    let mut request = chat(&client, address, marker)
         .insert_header(("traceparent", format!("00-{request_id}-{:016x}-01", 1)));
     if identity == Identity::NewKey {
         let key = format!("{:016x}", rand::random::<u64>());
         request = request.insert_header(("idempotency-key", key));
     }
-    let Ok(mut response) = request.send_json(&body).await else {
+    let Ok(mut response) = request.send_json(&chat_body(marker, text)).await else {
         return CrashingAnswer {
             status: 0,
             error: ("no answer".into(), "unknown".into()),
@@ -96,6 +92,31 @@
     }
 }
 
+fn chat(client: &awc::Client, address: SocketAddr, marker: &str) -> ClientRequest {
+    client
+        .post(format!("http://{address}/v1/chat/completions"))
+        .insert_header(("authorization", format!("Bearer {API_KEY}")))
+        .insert_header(("x-profile", "shop-counter"))
+        .insert_header(("x-chat-id", marker))
+}
+
+fn chat_body(marker: &str, text: &str) -> Value {
+    let content = format!("marker:{marker} {text}");
+    json!({"stream": true, "messages": [{"role": "user", "content": content}]})
+}
+
+/// Sends a chat with `marker` and `text` to the daemon at `address`, and closes the connection when
+/// the first part of the answer has arrived. Returns the status; 0 if the connection failed.
+pub async fn send_and_leave(address: SocketAddr, marker: &str, text: &str) -> u16 {
+    let client = awc::Client::builder().timeout(REQUEST_TIMEOUT).finish();
+    let request = chat(&client, address, marker);
+    let Ok(mut response) = request.send_json(&chat_body(marker, text)).await else {
+        return 0;
+    };
+    drop(response.next().await);
+    response.status().as_u16()
+}
+
 /// Starts every engine again that has ended, under the same id.
 ///
 /// # Errors
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -160,6 +160,7 @@
                 zone: size.failure_domain(index).to_owned(),
                 slots: TARGET_SLOTS,
                 advertised: proxy_link(Link::Target(name.clone()), address)?,
+                heartbeat_ms: size.heartbeat_ms,
             };
             let role = target_role(size, is_engine, address, &records_path, registration);
             let target = TargetProcess {
@@ -246,6 +247,18 @@
         Ok(())
     }
 
+    /// Starts an exited engine again at the same address, as a new target `id`.
+    ///
+    /// # Errors
+    /// If the engine cannot be started.
+    pub fn replace_engine(&mut self, index: usize, id: &str) -> io::Result<()> {
+        let engine = &mut self.engines[index];
+        if let Role::Engine { registration, .. } = &mut engine.role {
+            id.clone_into(&mut registration.id);
+        }
+        self.restart_engine(index)
+    }
+
     /// Starts an exited service target again, with the same role.
     ///
     /// # Errors
--- a/crates/demo/src/fleet_size.rs
+++ b/crates/demo/src/fleet_size.rs
@@ -1,5 +1,7 @@
 //! Number of processes in a fleet and timing of its stand-ins.
 
+use lapismoor_adapter_standin::HEARTBEAT_MS;
+
 /// Number of processes in a fleet and timing of its stand-ins.
 #[derive(Debug, Clone)]
 pub struct FleetSize {
@@ -23,6 +25,9 @@
     pub prefill_ms: u64,
     /// Duration of a service call, in milliseconds.
     pub work_ms: u64,
+    /// Interval at which targets renew the leases of their entries, in milliseconds. An entry expires
+    /// three intervals after the last renewal.
+    pub heartbeat_ms: u64,
 }
 
 impl FleetSize {
@@ -42,6 +47,7 @@
             token_ms: 8,
             prefill_ms: 120,
             work_ms: 30,
+            heartbeat_ms: HEARTBEAT_MS,
         }
     }
 
