Notice engines that end after their callers left

A request that ends its engines was sent on without limit if its callers left while an answer was under way: each attempt ended one more engine. Cause: only a lost connection was recorded as an interruption. When the caller leaves, the daemon closes the connection itself and forgot the attempt; the same held for attempts given up as slow, at the deadline, or silent while the target answered others. The change: an attempt whose end is not awaited is recorded and counts once the crash of its target is confirmed. Several such attempts at a target that crashes once count once, and leave no withdrawal if nobody was told of them.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -45,7 +45,8 @@
 const MAX_RECORDS: usize = 16_384;
 
 value! {
-    /// An attempt whose connection was lost, or whose target fell silent.
+    /// An attempt whose connection was lost, or whose end this daemon did not await: its caller left,
+    /// its target fell silent, or its time was up.
     pub struct InterruptedAttempt {
         /// Fingerprint of the request.
         pub fingerprint: Fingerprint,
@@ -62,8 +63,9 @@
     /// What is known about the target of an interrupted attempt.
     #[derive(Copy)]
     pub enum Belief {
-        /// The target fell silent; it counts as crashed only once that is confirmed.
-        Silent,
+        /// This daemon did not see how the attempt ended; the target counts as crashed only once that
+        /// is confirmed.
+        Unknown,
         /// The connection was lost; the target is presumed to have crashed.
         Presumed,
         /// The target answered a request that was sent later.
@@ -159,7 +161,9 @@
             shared_occurrences: 0,
         };
         let withdrawal = Withdrawal::of(&record);
-        if let Ok(position) = self.withdrawn_position(&withdrawal) {
+        if record.counts()
+            && let Ok(position) = self.withdrawn_position(&withdrawal)
+        {
             self.withdrawn.remove(position);
         }
         let Ok(position) = self.position(&record) else {
@@ -167,9 +171,14 @@
             return;
         };
         let known = &mut self.records[position];
+        if known.counts() && !record.counts() {
+            return;
+        }
+        // The target survived an attempt with an unknown end if it took another one.
+        let is_further = known.counts() && is_after_previous;
         *known = Record {
             is_consecutive: record.is_consecutive || known.is_consecutive,
-            occurrences: known.occurrences + u32::from(is_after_previous),
+            occurrences: known.occurrences + u32::from(is_further),
             shared_occurrences: known.shared_occurrences,
             ..record
         };
@@ -182,7 +191,7 @@
             let is_recent = now.saturating_sub(record.noted_at) <= CONFIRMATION_WINDOW;
             let may_be_cause = match record.belief {
                 Belief::Presumed | Belief::Confirmed => true,
-                Belief::Silent | Belief::Alive => is_recent,
+                Belief::Unknown | Belief::Alive => is_recent,
             };
             if record.target == *target && may_be_cause {
                 record.belief = Belief::Confirmed;
@@ -204,7 +213,7 @@
         for record in &mut self.records {
             let is_refuted = record.target == *target
                 && record.noted_at < sent_at
-                && matches!(record.belief, Belief::Presumed | Belief::Silent);
+                && matches!(record.belief, Belief::Presumed | Belief::Unknown);
             if is_refuted {
                 if record.counts() {
                     refuted.push(record.fingerprint);
@@ -264,8 +273,11 @@
             if record.counts() {
                 stopped_counting.push(Withdrawal::of(record));
             }
-            let is_to_share = record.witness == witness && record.shared_occurrences > 0;
-            refuted.push((Withdrawal::of(record), is_to_share));
+            let is_own = record.witness == witness;
+            let is_shared = record.shared_occurrences > 0;
+            if is_shared || !is_own {
+                refuted.push((Withdrawal::of(record), is_own));
+            }
             false
         });
         for (withdrawal, is_to_share) in refuted {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Fleet membership: targets and daemons listed in the store, the copy of the store and its age.
 
+pub mod crash_watch;
 pub mod directory;
 pub mod entry;
 pub mod freshness;
@@ -7,6 +8,7 @@
 pub mod sources;
 pub mod traffic_share;
 
+pub use crash_watch::CrashWatch;
 pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
 pub use entry::{TargetEntry, TargetIncarnation, TargetState};
 pub use freshness::Freshness;
--- a/crates/core/tests/suspects.rs
+++ b/crates/core/tests/suspects.rs
@@ -196,7 +196,7 @@
     let mut suspects = Suspects::default();
     suspects.record_interrupted_attempt(ms(1_010), attempt(7, 1, 1_000));
     let mut silent = attempt(8, 1, 1_000);
-    silent.belief = Belief::Silent;
+    silent.belief = Belief::Unknown;
     suspects.record_interrupted_attempt(ms(1_010), silent);
     assert_eq!(suspects.record_answer(&target(1), ms(1_020)), [7]);
     let again = suspects.record_answer(&target(1), ms(1_030));
@@ -272,7 +272,7 @@
     let mut suspects = Suspects::default();
     for number in 1..=3 {
         let mut interrupted = attempt(7, number, 1_000 * number);
-        interrupted.belief = Belief::Silent;
+        interrupted.belief = Belief::Unknown;
         suspects.record_interrupted_attempt(ms(1_000 * number + 900), interrupted);
     }
     assert_eq!(suspects.verdict(ms(4_000), 7), Verdict::Run);
--- a/crates/core/tests/suspects_fleet.rs
+++ b/crates/core/tests/suspects_fleet.rs
@@ -9,6 +9,7 @@
 };
 use lapismoor_core::ids::{Fingerprint, Incarnation};
 use lapismoor_core::membership::TargetIncarnation;
+use lapismoor_core::membership::crash_watch::CHECK_INTERVAL;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -30,6 +31,9 @@
     StoreAway,
     /// Daemons do not reach each other; the store takes writes.
     NoPeers,
+    /// Each caller leaves while the answer is under way, so that its daemon learns of the crash only
+    /// from a check of the target.
+    CallersLeave,
 }
 
 /// A message to one daemon.
@@ -112,10 +116,27 @@
         }
     }
 
+    /// The daemon that gave up a request finds out by a check that its target crashed.
+    fn check(&mut self, now: Moment, daemon: usize, target: usize) {
+        let longest = CHECK_INTERVAL + Duration::from_millis(250);
+        let delay = self.rng.random_range(Duration::ZERO..longest);
+        self.deliveries.push(Delivery {
+            at: now + delay,
+            daemon,
+            news: News::Crash(self.incarnation(target)),
+        });
+    }
+
     /// One request at a daemon, with as many attempts as its route allows.
     fn request(&mut self, now: Moment, daemon: usize, fingerprint: Fingerprint) {
         let mut trial_taken = false;
-        for attempt in 0..self.rng.random_range(1..4) {
+        let is_abandoned = self.trouble == Trouble::CallersLeave;
+        let attempts = if is_abandoned {
+            1
+        } else {
+            self.rng.random_range(1..4)
+        };
+        for attempt in 0..attempts {
             let at = now + Duration::from_millis(attempt);
             match self.daemons[daemon].verdict(at, fingerprint) {
                 Verdict::Run => {}
@@ -140,10 +161,17 @@
                 fingerprint,
                 target: self.incarnation(target),
                 sent_at: at,
-                had_answer: false,
-                belief: Belief::Presumed,
+                had_answer: is_abandoned,
+                belief: if is_abandoned {
+                    Belief::Unknown
+                } else {
+                    Belief::Presumed
+                },
             };
             self.attempts.push(at);
+            if is_abandoned {
+                self.check(at, daemon, target);
+            }
             self.crash(at, target);
             self.daemons[daemon].record_interrupted_attempt(at, interrupted);
         }
@@ -291,6 +319,7 @@
 #[test_case(Trouble::Restarts)]
 #[test_case(Trouble::StoreAway)]
 #[test_case(Trouble::NoPeers)]
+#[test_case(Trouble::CallersLeave)]
 fn crashing_request_is_stopped_in_any_schedule(trouble: Trouble) {
     for seed in 0..100 {
         let mut fleet = Fleet::new(seed, trouble);
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -11,7 +11,7 @@
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey};
 use lapismoor_core::membership::{
-    DaemonRecord, Directory, Freshness, Mirror, TargetIncarnation, TrafficShare,
+    CrashWatch, DaemonRecord, Directory, Freshness, Mirror, TargetIncarnation, TrafficShare,
 };
 use lapismoor_core::once::Ledger;
 use lapismoor_core::retry::{MAX_PAUSE, RetryBudget};
@@ -25,7 +25,7 @@
 
 use crate::admission::AdmissionControl;
 use crate::dialect::{Dialect, PauseRequest};
-use crate::http::ConnectionPool;
+use crate::http::{Connection, ConnectionPool};
 use crate::metrics::Metrics;
 use crate::millis::millis;
 use crate::profiles::KeyLease;
@@ -68,6 +68,8 @@
     pub in_flight: Cell<usize>,
     /// Calls the store.
     pub store: StoreClient,
+    /// Notified when a target is watched for a crash.
+    pub crash_watch_began: Notify,
     /// Notified when an attempt is interrupted, or a request that was interrupted is answered.
     pub attempt_interrupted: Notify,
     /// Notified when the store or another daemon has taken a record about interrupted requests.
@@ -102,6 +104,8 @@
     pub suspects: Suspects,
     /// Known targets, with their load and health.
     pub directory: Directory,
+    /// Targets at which requests were given up.
+    pub crash_watch: CrashWatch,
     /// Copy of the data in the store.
     pub mirror: Mirror,
     /// Announced daemons of the fleet. Invariant: sorted by id.
@@ -162,6 +166,7 @@
             ledger,
             suspects: Suspects::new(incarnation),
             directory: Directory::default(),
+            crash_watch: CrashWatch::default(),
             mirror: Mirror::default(),
             daemons: Vec::new(),
             has_loaded_targets: false,
@@ -190,6 +195,7 @@
             is_first_start: Cell::new(false),
             in_flight: Cell::new(0),
             store,
+            crash_watch_began: Notify::new(),
             attempt_interrupted: Notify::new(),
             evidence_acknowledged: Notify::new(),
             suspects_lease: RecordLease::default(),
@@ -333,6 +339,18 @@
         })
     }
 
+    /// Keeps a new connection to a target for later requests.
+    pub(crate) fn keep_connection(&self, target: TargetKey, connection: Connection) {
+        let service = {
+            let state = self.state.borrow();
+            let known = state.directory.get(target);
+            known.map(|known| known.entry.service.clone())
+        };
+        let max_idle = service.map_or(0, |service| self.idle_connection_limit(&service));
+        self.connections
+            .release(self.now(), target, connection, None, max_idle);
+    }
+
     /// Records that another incarnation of this daemon is still announced. Its retries count in the
     /// fleet's budget, and are not known here.
     pub(crate) fn found_predecessor(&self) {
@@ -446,11 +464,21 @@
     pub fn target_crashed(&self, target: &TargetIncarnation) {
         let now = self.now();
         let interrupted = self.state.borrow_mut().suspects.record_crash(now, target);
+        if !interrupted.is_empty() {
+            self.attempt_interrupted.notify_one();
+        }
         for fingerprint in interrupted {
             self.log_suspect(fingerprint, &target.id, "confirmed", CRASHES_ALLOWED);
         }
     }
 
+    /// Checks for a while whether a target crashes: a request was given up there.
+    pub fn watch_for_crash(&self, target: TargetKey) {
+        let now = self.now();
+        self.state.borrow_mut().crash_watch.begin(now, target);
+        self.crash_watch_began.notify_one();
+    }
+
     /// Records that a target answered a request sent at `sent_at`, which refutes the suspicion
     /// against requests that were interrupted there before.
     pub fn target_survived(&self, target: TargetKey, sent_at: Moment) {
--- /dev/null
+++ b/crates/edge/src/crash_watch.rs
@@ -0,0 +1,54 @@
+//! Checks the targets at which requests were given up, so that a crash is known before the entry of
+//! the target expires.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use lapismoor_core::ids::TargetKey;
+
+use crate::context::Edge;
+use crate::http::Connection;
+
+/// Time in which a target that runs accepts a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Checks watched targets for as long as the daemon runs.
+pub(crate) async fn watch_targets(edge: Rc<Edge>) {
+    loop {
+        let began = edge.crash_watch_began.notified();
+        let check_at = edge.state.borrow().crash_watch.next_check_at();
+        let Some(check_at) = check_at else {
+            began.await;
+            continue;
+        };
+        tokio::time::sleep(check_at.saturating_sub(edge.now())).await;
+        let now = edge.now();
+        let due = edge.state.borrow_mut().crash_watch.take_due(now);
+        let checks = due.into_iter().map(|target| check(&edge, target));
+        futures::future::join_all(checks).await;
+    }
+}
+
+/// Checks one target: an idle connection that is still open shows that it runs, and costs nothing.
+/// Otherwise it is asked for a connection, which is kept for later requests.
+async fn check(edge: &Edge, target: TargetKey) {
+    if edge.connections.has_open(edge.now(), target) {
+        return;
+    }
+    let Some((_, address)) = edge.address_of(target) else {
+        return;
+    };
+    edge.metrics.connections_opened.add(1, &[]);
+    match Connection::open(address, CONNECT_TIMEOUT).await {
+        Ok(connection) => edge.keep_connection(target, connection),
+        Err(error) if error.is_refused() => {
+            edge.target_unreachable(target, error.name());
+            if let Some(incarnation) = edge.incarnation_of(target) {
+                edge.target_crashed(&incarnation);
+            }
+            edge.state.borrow_mut().crash_watch.end(target);
+        }
+        // The target may be overloaded, or the path to it interrupted.
+        Err(_) => {}
+    }
+}
--- a/crates/edge/src/http/connection_pool.rs
+++ b/crates/edge/src/http/connection_pool.rs
@@ -48,6 +48,17 @@
         None
     }
 
+    /// Whether an idle connection to `target` is open. Drops those that the target has closed.
+    pub fn has_open(&self, now: Moment, target: TargetKey) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Ok(position) = idle.binary_search_by_key(&target, |(key, _)| *key) else {
+            return false;
+        };
+        let list = &mut idle[position].1;
+        list.retain_mut(|entry| entry.expires_at > now && entry.connection.is_reusable());
+        !list.is_empty()
+    }
+
     /// Keeps a connection for part of its target's idle timeout, or closes it if `max_idle`
     /// connections to the target are idle already.
     pub fn release(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod clock;
 mod context;
+mod crash_watch;
 pub mod dialect;
 pub mod history;
 pub mod http;
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -11,7 +11,7 @@
 use opentelemetry::trace::SpanKind;
 
 use super::answer_wait::{WaitError, wait_for_answer};
-use super::job::Job;
+use super::job::{InFlight, Job};
 use crate::context::Edge;
 use crate::dialect::{AnswerMetadata, AttemptHeaders};
 use crate::http::{AnswerBody, Connection, ExchangeError};
@@ -101,11 +101,11 @@
         }
     }
 
-    /// The target sent nothing for longer than the timeout.
-    pub(crate) fn silent() -> Self {
+    /// The daemon gave up the attempt. The target may still run the request, and crash.
+    pub(crate) fn not_awaited(cause: &'static str) -> Self {
         Self {
-            interruption: Some(Belief::Silent),
-            ..Self::new(AttemptEnd::Unknown, TARGET_SILENT)
+            interruption: Some(Belief::Unknown),
+            ..Self::new(AttemptEnd::Unknown, cause)
         }
     }
 }
@@ -129,7 +129,6 @@
     log_sent(job, choice, &target_id, last_event);
     job.sent_at.set(edge.now());
     *job.sent_to.borrow_mut() = edge.incarnation_of(choice.target);
-    job.waits_for.set(Some(choice.target));
     let connection = match connect(job, choice.target, address).await {
         Ok(connection) => connection,
         Err(error) => {
@@ -147,26 +146,30 @@
         let id = (edge.dialect.read_answer)(head.headers()).request_id;
         id.is_none_or(|id| id == job.request.envelope.id)
     };
+    job.in_flight.set(Some(InFlight {
+        target: choice.target,
+        has_answer: false,
+    }));
     let exchange = connection.exchange(head, job.request.body.clone(), answers_request);
     let (head, body) = match wait_for_answer(job, choice.target, exchange).await {
         Ok(answer) => answer,
         Err(WaitError::Exchange(error)) => return Err(failed_attempt(edge, choice.target, &error)),
         Err(WaitError::Silent) => {
             edge.target_unreachable(choice.target, "silent");
-            return Err(FailedAttempt::silent());
+            return Err(FailedAttempt::not_awaited(TARGET_SILENT));
         }
         Err(WaitError::Slow) => {
             edge.target_answered(choice.target, true);
-            return Err(FailedAttempt::new(AttemptEnd::Unknown, "answer_late"));
+            return Err(FailedAttempt::not_awaited("answer_late"));
         }
         Err(WaitError::DeadlinePassed) => {
-            return Err(FailedAttempt {
-                interruption: job.is_target_unheard().then_some(Belief::Silent),
-                ..FailedAttempt::new(AttemptEnd::Unknown, "time_up")
-            });
+            return Err(FailedAttempt::not_awaited("time_up"));
         }
     };
-    job.waits_for.set(None);
+    job.in_flight.set(Some(InFlight {
+        target: choice.target,
+        has_answer: true,
+    }));
     edge.target_survived(choice.target, job.sent_at.get());
     let metadata = (edge.dialect.read_answer)(head.headers());
     if metadata.is_leaving {
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// An attempt that was sent to a target.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct InFlight {
+    pub target: TargetKey,
+    /// Whether part of the answer has arrived.
+    pub has_answer: bool,
+}
+
 /// A request and the state of its attempts.
 pub(crate) struct Job {
     pub edge: Rc<Edge>,
@@ -61,8 +69,8 @@
     pub sent_at: Cell<Moment>,
     /// Target of the last attempt.
     pub sent_to: RefCell<Option<TargetIncarnation>>,
-    /// Target whose answer has not begun; none between attempts.
-    pub waits_for: Cell<Option<TargetKey>>,
+    /// The attempt that was sent and has not ended; none between attempts.
+    pub in_flight: Cell<Option<InFlight>>,
     /// Number of runs before the trial that this job claimed; the trial permits one more.
     pub trial_after_runs: Option<u32>,
     /// Whether the end of the request was logged and counted.
@@ -90,7 +98,7 @@
             fingerprint: fingerprint(&request),
             sent_at: Cell::new(request.received),
             sent_to: RefCell::new(None),
-            waits_for: Cell::new(None),
+            in_flight: Cell::new(None),
             trial_after_runs: None,
             is_end_reported: Cell::new(false),
             is_delivering: false,
@@ -153,7 +161,7 @@
     /// Records a failed attempt and decides what to do next.
     pub(crate) fn next_step(&mut self, target: TargetKey, failed: &FailedAttempt) -> NextStep {
         let end = &failed.end;
-        self.waits_for.set(None);
+        self.in_flight.set(None);
         if let Some(belief) = failed.interruption {
             self.record_interruption(target, belief, failed.had_answer);
         }
@@ -187,10 +195,8 @@
 /// A job that is dropped before its end was reported lost its caller.
 impl Drop for Job {
     fn drop(&mut self) {
-        if let Some(target) = self.waits_for.get()
-            && self.is_target_unheard()
-        {
-            self.record_interruption(target, Belief::Silent, false);
+        if let Some(attempt) = self.in_flight.get() {
+            self.record_interruption(attempt.target, Belief::Unknown, attempt.has_answer);
         }
         if !self.is_end_reported.get() {
             report::caller_left(self);
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -104,6 +104,7 @@
 /// Reports a request that was served. Log lines are sampled.
 pub(crate) fn served(job: &Job, target: &TargetId, status: u16) {
     job.is_end_reported.set(true);
+    job.in_flight.set(None);
     let edge = &job.edge;
     let took = edge.now().saturating_sub(job.request.received);
     edge.metrics.record_request_duration(took);
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -124,7 +124,7 @@
     async fn resume(&mut self, cause: &'static str) -> Result<(), &'static str> {
         self.splitter.discard_partial_event();
         let mut failed = if cause == TARGET_SILENT {
-            FailedAttempt::silent()
+            FailedAttempt::not_awaited(cause)
         } else {
             FailedAttempt::connection_lost(cause)
         };
--- a/crates/edge/src/serve/suspicion.rs
+++ b/crates/edge/src/serve/suspicion.rs
@@ -101,12 +101,6 @@
         standing.crashes >= SUSPICIOUS_CRASHES
     }
 
-    /// Whether the target of the attempt in flight has sent nothing since, on any connection.
-    pub(super) fn is_target_unheard(&self) -> bool {
-        let target = self.waits_for.get();
-        target.is_some_and(|target| self.edge.heard_at(target) <= self.sent_at.get())
-    }
-
     /// Records that the target of the last attempt may have crashed, unless it was about to exit.
     pub(super) fn record_interruption(&self, target: TargetKey, belief: Belief, had_answer: bool) {
         let now = self.edge.now();
@@ -128,6 +122,10 @@
             };
             state.suspects.record_interrupted_attempt(now, attempt);
         }
+        if belief == Belief::Unknown {
+            self.edge.watch_for_crash(target);
+            return;
+        }
         self.edge.log_suspect(
             self.fingerprint,
             &incarnation.id,
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::context::Edge;
+use crate::crash_watch::watch_targets;
 use crate::dialect::Dialect;
 use crate::listeners::Listeners;
 use crate::profiles;
@@ -110,6 +111,7 @@
     rt::spawn(follow(Rc::clone(&edge), store.clone()));
     rt::spawn(announce(Rc::clone(&edge), store, record));
     rt::spawn(share_suspects(Rc::clone(&edge)));
+    rt::spawn(watch_targets(Rc::clone(&edge)));
     rt::spawn(exchange_observations(Rc::clone(&edge)));
     rt::spawn(exchange_between_collectors(Rc::clone(&edge)));
     rt::spawn(run_housekeeping(Rc::clone(&edge)));
