Do not take a successor at the same address for the target that crashed

What callers saw: BUDGET. A request that had ended three engines was sent to further ones about four seconds later, when engines under new ids had started at the same addresses. Cause: a sign of life was credited to a target by its address. The connection that a target is asked for before a request is refused, and the answer 421 to any request, can come from its successor until the old entry expires: 2.9 to 3.9 s after the crash on the users' platform, while the successor accepts connections from 3.0 s on. All interruptions at the old entries then stop to count. Ruled out: the expiry of the evidence, and the sharing (crash_refuted names sign 'connection'). Tests: directory, two cases.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -224,11 +224,16 @@
         refuted
     }
 
-    /// Targets that are only presumed to have crashed under a request.
+    /// Targets that are only presumed to have crashed under a request, after `since`.
     #[must_use]
-    pub fn presumed(&self, fingerprint: Fingerprint) -> Vec<TargetIncarnation> {
+    pub fn presumed_since(
+        &self,
+        since: Moment,
+        fingerprint: Fingerprint,
+    ) -> Vec<TargetIncarnation> {
         let records = self.of(fingerprint).iter();
-        let presumed = records.filter(|record| record.belief == Belief::Presumed);
+        let presumed =
+            records.filter(|record| record.belief == Belief::Presumed && record.noted_at >= since);
         let mut targets: Vec<TargetIncarnation> =
             presumed.map(|record| record.target.clone()).collect();
         targets.dedup();
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -181,6 +181,22 @@
         self.targets[position].update(now, entry, said_leaving)
     }
 
+    /// Marks targets as leaving that are still listed although the target `id` has their address: they
+    /// have ended, and their entries have not expired yet. Returns their incarnations.
+    pub fn end_predecessors(&mut self, now: Moment, id: &str) -> Vec<TargetIncarnation> {
+        let Some(address) = self.find(id).map(|target| target.entry.address) else {
+            return Vec::new();
+        };
+        let targets = self.targets.iter_mut();
+        let predecessors = targets
+            .filter(|target| target.entry.address == address && target.entry.id.as_str() != id);
+        let ended = predecessors.filter_map(|target| {
+            let incarnation = target.entry.incarnation();
+            target.leave(now).then_some(incarnation)
+        });
+        ended.collect()
+    }
+
     /// Applies the removal of an entry from the store. Returns the target unless it is unknown or
     /// was already leaving.
     pub fn remove(&mut self, now: Moment, id: &str) -> Option<&KnownTarget> {
--- a/crates/core/tests/crash_watch.rs
+++ b/crates/core/tests/crash_watch.rs
@@ -31,7 +31,9 @@
     assert_eq!(checks.first(), Some(&CHECK_INTERVAL));
     let last = checks.last().expect("checks");
     assert!(*last + CHECK_INTERVAL > WATCH_TIME, "{checks:?}");
-    let gaps = checks.windows(2).map(|pair| pair[1].saturating_sub(pair[0]));
+    let gaps = checks
+        .windows(2)
+        .map(|pair| pair[1].saturating_sub(pair[0]));
     assert!(gaps.max() <= Some(CHECK_INTERVAL + STEP), "{checks:?}");
 }
 
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -142,3 +142,34 @@
     directory.sweep(ms(31_000));
     assert!(directory.find("a").is_none());
 }
+
+/// Guards against requests to a target that crashed and whose successor, under another id, has its
+/// address: the old entry is listed until its lease expires.
+#[test]
+fn listed_target_whose_address_another_one_has_has_ended() {
+    let mut directory = directory_with(&["a"]);
+    let mut elsewhere = entry("b");
+    elsewhere.address = "10.0.0.2:80".parse().expect("an address");
+    directory.apply(ms(0), elsewhere);
+    directory.apply(ms(3_000), entry("c"));
+    let ended = directory.end_predecessors(ms(3_000), "c");
+    assert_eq!(ended, [entry("a").incarnation()]);
+    assert_eq!(in_use(&directory), ["b", "c"]);
+    assert!(!directory.is_listed(&entry("a").incarnation()));
+    let again = directory.end_predecessors(ms(3_001), "c");
+    assert_eq!(again, [], "it has ended once");
+    assert!(
+        directory.remove(ms(3_600), "a").is_none(),
+        "its entry expires later"
+    );
+}
+
+#[test]
+fn target_that_left_before_its_successor_started_did_not_crash() {
+    let mut directory = directory_with(&["a"]);
+    let mut draining = entry("a");
+    draining.state = TargetState::Draining;
+    directory.apply(ms(1), draining);
+    directory.apply(ms(3_000), entry("c"));
+    assert_eq!(directory.end_predecessors(ms(3_000), "c"), []);
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -489,6 +489,15 @@
         }
     }
 
+    /// Records that another target answered at the address of a target, which has ended.
+    pub fn target_replaced(&self, target: TargetKey) {
+        let now = self.now();
+        let is_crash = !self.state.borrow().directory.is_exit_planned(now, target);
+        if is_crash && let Some(incarnation) = self.incarnation_of(target) {
+            self.target_crashed(&incarnation);
+        }
+    }
+
     /// Records a sign of life of a target, in answer to what was sent at `sent_at`.
     pub fn sign_of_life(&self, target: &TargetIncarnation, sent_at: Moment, sign: &str) {
         let refuted = {
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -170,7 +170,11 @@
         target: choice.target,
         has_answer: true,
     }));
-    edge.target_survived(choice.target, job.sent_at.get());
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        edge.target_replaced(choice.target);
+    } else {
+        edge.target_survived(choice.target, job.sent_at.get());
+    }
     let metadata = (edge.dialect.read_answer)(head.headers());
     if metadata.is_leaving {
         edge.target_said_leaving(choice.target);
--- a/crates/edge/src/serve/suspicion.rs
+++ b/crates/edge/src/serve/suspicion.rs
@@ -31,14 +31,19 @@
     }
 
     /// The verdict on the request. Before it is not simply sent, the targets that are presumed to have
-    /// crashed are asked for a connection: they may only have lost the ones before.
+    /// crashed a moment ago are asked for a connection: they may only have lost the ones before. Later,
+    /// a successor at the same address may accept it.
     async fn verified_verdict(&self) -> Verdict {
         let verdict = self.verdict();
         if verdict == Verdict::Run {
             return verdict;
         }
         let edge = &self.edge;
-        let presumed = edge.state.borrow().suspects.presumed(self.fingerprint);
+        let since = edge.now().saturating_sub(edge.settings.limits.reuse_after);
+        let presumed = {
+            let state = edge.state.borrow();
+            state.suspects.presumed_since(since, self.fingerprint)
+        };
         let checks = presumed.iter().map(|target| async move {
             let asked_at = edge.now();
             let address = edge.address_if_listed(target)?;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -49,6 +49,8 @@
     pub config_within: Duration,
     /// Time within which a draining target must stop receiving new requests.
     pub drain_within: Duration,
+    /// Time after the end of a target before which no other one has its address.
+    pub reuse_after: Duration,
     /// Maximum load of a target.
     pub load_bound: LoadBound,
     /// Retry budget of each service.
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -111,8 +111,17 @@
     if change == DirectoryChange::Same || cause == Cause::FirstList {
         return;
     }
+    let predecessors = if cause == Cause::Change {
+        state.directory.end_predecessors(now, &id)
+    } else {
+        Vec::new()
+    };
     drop(state);
     log::info!(target:% = id, change:?; "target_listed");
+    for predecessor in predecessors {
+        log::info!(target:% = predecessor.id, successor:% = id; "target_replaced");
+        edge.target_crashed(&predecessor);
+    }
     if change == DirectoryChange::Restarted
         && let Some(crashed) = previous
     {
--- a/crates/lapismoor/src/settings.rs
+++ b/crates/lapismoor/src/settings.rs
@@ -86,6 +86,8 @@
     pub config_within_ms: u64,
     /// Time within which a draining target must stop receiving new requests, in milliseconds.
     pub drain_within_ms: u64,
+    /// Time after the end of a target before which no other one has its address, in milliseconds.
+    pub reuse_after_ms: u64,
     /// Retries allowed per 100 requests of a service.
     pub retry_percent: u32,
     /// Length of the sliding window in which retries are counted, in milliseconds.
@@ -102,6 +104,7 @@
             revoke_within_ms: 0,
             config_within_ms: 14_000,
             drain_within_ms: 5_000,
+            reuse_after_ms: 2_000,
             retry_percent: 20,
             retry_window_ms: 10_000,
             retry_slack: 54,
@@ -226,6 +229,7 @@
             revoke_within: (!revoke_within.is_zero()).then_some(revoke_within),
             config_within: Duration::from_millis(self.config_within_ms),
             drain_within: Duration::from_millis(self.drain_within_ms),
+            reuse_after: Duration::from_millis(self.reuse_after_ms),
             load_bound: DEFAULT_LOAD_BOUND,
             budget: RetryBudgetSettings {
                 ratio_percent: self.retry_percent,
