Cut off answers without end

What callers saw: a target that sends bytes without end held a request until its deadline (20 s in the test, 504) if the bytes were the size of a chunk or the answer to another request; a stream whose events never pause was forwarded without end, past its deadline. Cause: the bytes between the pieces of data, and those of skipped answers, were not bounded; the deadline of a stream was looked at only when its target paused. An answer that the daemon itself cuts off (too long, malformed, late) was also taken for a connection that the target had lost, as by a crash. The change: at most 16 KiB of framing without data and 1 MiB of skipped answers; a stream ends 1 s after its deadline at the latest, so that events that are ready are still delivered; an exchange that the daemon ends counts against the request only if the target's crash is confirmed.

--- a/crates/edge/src/http/answer.rs
+++ b/crates/edge/src/http/answer.rs
@@ -3,7 +3,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 
-use actix_codec::Framed;
+use actix_codec::{Decoder, Framed};
 use actix_http::error::PayloadError;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec};
 use actix_http::{ResponseHead, StatusCode, header};
@@ -18,6 +18,36 @@
 /// Buffer size for one read of a body that ends when the connection closes, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Maximum number of consecutive bytes of a body that delimit its chunks.
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
+
+/// Decodes a body, and fails if the target keeps sending bytes that hold no data, such as the size of
+/// a chunk without end.
+struct BoundedCodec {
+    payload: ClientPayloadCodec,
+    /// Bytes without data since the last piece of data.
+    framing_bytes: usize,
+}
+
+impl Decoder for BoundedCodec {
+    type Item = Option<Bytes>;
+    type Error = PayloadError;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Self::Item>, Self::Error> {
+        let received_bytes = buffer.len();
+        let item = self.payload.decode(buffer)?;
+        if item.is_some() {
+            self.framing_bytes = 0;
+            return Ok(item);
+        }
+        self.framing_bytes += received_bytes - buffer.len();
+        if self.framing_bytes > MAX_FRAMING_BYTES {
+            return Err(PayloadError::Overflow);
+        }
+        Ok(None)
+    }
+}
+
 /// Status and headers of an answer.
 pub type AnswerHead = ResponseHead;
 
@@ -28,7 +58,7 @@
 
 enum Source {
     /// The body has a `Content-Length` or is chunked.
-    Framed(Box<Framed<TcpStream, ClientPayloadCodec>>),
+    Framed(Box<Framed<TcpStream, BoundedCodec>>),
     /// The body ends when the connection closes. `buffered` was read together with the head.
     UntilClose { io: TcpStream, buffered: Bytes },
     /// The body was read completely. The connection is there if it can be reused.
@@ -50,9 +80,11 @@
             let is_keep_alive = framed.codec_ref().keep_alive();
             Source::Complete(is_keep_alive.then(|| Connection::from_framed(framed)))
         } else {
-            Source::Framed(Box::new(
-                framed.into_map_codec(ClientCodec::into_payload_codec),
-            ))
+            let framed = framed.into_map_codec(|codec| BoundedCodec {
+                payload: codec.into_payload_codec(),
+                framing_bytes: 0,
+            });
+            Source::Framed(Box::new(framed))
         };
         Self { source }
     }
@@ -112,8 +144,8 @@
         let Source::Framed(framed) = source else {
             return;
         };
-        if framed.codec_ref().keep_alive() {
-            let framed = framed.into_map_codec(ClientPayloadCodec::into_message_codec);
+        if framed.codec_ref().payload.keep_alive() {
+            let framed = framed.into_map_codec(|codec| codec.payload.into_message_codec());
             let connection = Connection::from_framed(Box::new(framed));
             self.source = Source::Complete(Some(connection));
         }
--- a/crates/edge/src/http/connection.rs
+++ b/crates/edge/src/http/connection.rs
@@ -27,6 +27,9 @@
 /// Answers to earlier requests that are skipped before the exchange fails.
 const MAX_SKIPPED_ANSWERS: u32 = 3;
 
+/// Bytes of such answers that are skipped before the exchange fails.
+const MAX_SKIPPED_BYTES: usize = 1 << 20;
+
 /// A connection on which no request is in flight.
 pub struct Connection {
     framed: Box<Framed<TcpStream, ClientCodec>>,
@@ -78,6 +81,7 @@
         answers_request: impl Fn(&ResponseHead) -> bool,
     ) -> Result<(ResponseHead, AnswerBody), ExchangeError> {
         self.write(head, body)?;
+        let mut skipped_bytes = 0;
         for _ in 0..=MAX_SKIPPED_ANSWERS {
             let head = self.read_head().await?;
             if head.status.is_informational() {
@@ -88,7 +92,12 @@
             if is_wanted {
                 return Ok((head, body));
             }
-            while body.next().await?.is_some() {}
+            while let Some(bytes) = body.next().await? {
+                skipped_bytes += bytes.len();
+                if skipped_bytes > MAX_SKIPPED_BYTES {
+                    return Err(ExchangeError::WrongRequest);
+                }
+            }
             self = body.into_connection().ok_or(ExchangeError::CutOff)?;
         }
         Err(ExchangeError::WrongRequest)
--- a/crates/edge/src/http/error.rs
+++ b/crates/edge/src/http/error.rs
@@ -29,9 +29,12 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The connection was closed, or the deadline passed, before the end of the answer.
+    /// The connection was closed before the end of the answer.
     #[snafu(display("the answer was cut off; check the target's log"))]
     CutOff,
+    /// The deadline passed before the end of the answer.
+    #[snafu(display("the answer was not complete in time; check the target's load"))]
+    DeadlinePassed,
     /// The answer is not valid HTTP, or is too long.
     #[snafu(display("the answer is malformed: {reason}; check the target"))]
     Malformed {
@@ -53,6 +56,12 @@
         )
     }
 
+    /// Whether the target ended the exchange, and not the daemon.
+    #[must_use]
+    pub fn is_connection_lost(&self) -> bool {
+        matches!(self, Self::Broken { .. } | Self::CutOff)
+    }
+
     /// Whether the connection was refused: nothing listens on the target's port.
     #[must_use]
     pub fn is_refused(&self) -> bool {
@@ -68,6 +77,7 @@
             Self::Encode { .. } => "not_encoded",
             Self::Broken { .. } => "connection_broken",
             Self::CutOff => "answer_cut_off",
+            Self::DeadlinePassed => "time_up",
             Self::Malformed { .. } => "answer_malformed",
             Self::WrongRequest => "answer_foreign",
         }
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -101,6 +101,15 @@
         }
     }
 
+    /// The exchange failed after the request was sent.
+    pub(crate) fn cut_off(error: &ExchangeError) -> Self {
+        if error.is_connection_lost() {
+            Self::connection_lost(error.name())
+        } else {
+            Self::not_awaited(error.name())
+        }
+    }
+
     /// The daemon gave up the attempt. The target may still run the request, and crash.
     pub(crate) fn not_awaited(cause: &'static str) -> Self {
         Self {
@@ -285,7 +294,7 @@
         Ok(collected.freeze())
     };
     let limited = tokio::time::timeout(job.time_left(), reading).await;
-    limited.unwrap_or(Err(ExchangeError::CutOff))
+    limited.unwrap_or(Err(ExchangeError::DeadlinePassed))
 }
 
 pub(crate) fn clone_head(head: &ResponseHead) -> ResponseHead {
@@ -318,7 +327,7 @@
         return FailedAttempt::new(AttemptEnd::NotSent, error.name());
     }
     edge.target_answered(target, true);
-    FailedAttempt::connection_lost(error.name())
+    FailedAttempt::cut_off(error)
 }
 
 fn request_head(
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -103,7 +103,7 @@
         }
         Err(error) => {
             job.edge.target_answered(answer.target, true);
-            Err(FailedAttempt::connection_lost(error.name()))
+            Err(FailedAttempt::cut_off(&error))
         }
     }
 }
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -1,6 +1,8 @@
 //! Forwards the events of a stream. When the stream of a target is cut off, resumes it at another
 //! target after the last event that the caller received, if the route allows that.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures::Stream;
 use lapismoor_core::Moment;
@@ -14,6 +16,10 @@
 use super::run::CRASHES_TARGETS;
 use crate::store::share_now;
 
+/// Time after the deadline in which events that are ready are still forwarded. A target stops its work
+/// at the deadline; one that goes on is cut off.
+const LATE_DELIVERY: Duration = Duration::from_secs(1);
+
 /// Forwards a stream from a target to a caller.
 pub(crate) struct StreamForwarder {
     job: Job,
@@ -69,13 +75,16 @@
         loop {
             match self.read().await {
                 Ok(step) => return Ok(step),
-                Err(cause) => self.resume(cause).await?,
+                Err(failed) => self.resume(failed).await?,
             }
         }
     }
 
-    async fn read(&mut self) -> Result<Step, &'static str> {
+    async fn read(&mut self) -> Result<Step, FailedAttempt> {
         loop {
+            if self.job.edge.now() >= self.job.deadline + LATE_DELIVERY {
+                return Err(FailedAttempt::not_awaited("time_up"));
+            }
             let tuning = &self.job.edge.settings.tuning;
             let silence = self.job.time_left().min(tuning.event_silence_timeout);
             let timeout = if self.job.may_retry() {
@@ -85,19 +94,24 @@
             };
             let read = tokio::time::timeout(timeout, self.answer.body.next()).await;
             let bytes = match read {
-                Err(_) if self.job.time_left().is_zero() => return Err("time_up"),
+                Err(_) if self.job.time_left().is_zero() => {
+                    return Err(FailedAttempt::not_awaited("time_up"));
+                }
                 Err(_) => {
                     let edge = &self.job.edge;
                     edge.target_unreachable(self.answer.target, "silent");
-                    return Err(TARGET_SILENT);
+                    return Err(FailedAttempt::not_awaited(TARGET_SILENT));
+                }
+                Ok(Err(error)) => return Err(FailedAttempt::cut_off(&error)),
+                Ok(Ok(None)) if self.splitter.has_partial_event() => {
+                    return Err(FailedAttempt::connection_lost("event_cut_off"));
                 }
-                Ok(Err(error)) => return Err(error.name()),
-                Ok(Ok(None)) if self.splitter.has_partial_event() => return Err("event_cut_off"),
                 Ok(Ok(None)) => return Ok(Step::End),
                 Ok(Ok(Some(bytes))) => bytes,
             };
             self.job.edge.target_heard(self.answer.target);
-            let events = self.splitter.push(&bytes).map_err(|_| "event_too_large")?;
+            let events = self.splitter.push(&bytes);
+            let events = events.map_err(|_| FailedAttempt::not_awaited("event_too_large"))?;
             if !events.is_empty() {
                 self.job.is_delivering = true;
                 self.has_events = true;
@@ -121,13 +135,9 @@
     }
 
     /// Resumes the stream at another target, or returns the cause of its end.
-    async fn resume(&mut self, cause: &'static str) -> Result<(), &'static str> {
+    async fn resume(&mut self, mut failed: FailedAttempt) -> Result<(), &'static str> {
         self.splitter.discard_partial_event();
-        let mut failed = if cause == TARGET_SILENT {
-            FailedAttempt::not_awaited(cause)
-        } else {
-            FailedAttempt::connection_lost(cause)
-        };
+        let cause = failed.cause;
         failed.had_answer = self.has_events;
         loop {
             let step = self.job.next_step(self.choice.target, &failed);
