Do not take a proxy's accepted connection for a sign of life of its target

Cause: a proxy accepts connections also for a target that is gone, and closes them when it cannot reach it. The accepted connection refuted the interruptions. The change: a connection proves that its target runs if it is still open after 50 ms. Before: proxy_of_a_crashed_target_does_not_clear_a_request fails (the third call is sent, 502). After: passes.

--- a/crates/edge/src/crash_watch.rs
+++ b/crates/edge/src/crash_watch.rs
@@ -39,7 +39,7 @@
         return;
     };
     edge.metrics.connections_opened.add(1, &[]);
-    match Connection::open(address, CONNECT_TIMEOUT).await {
+    match Connection::open_lasting(address, CONNECT_TIMEOUT).await {
         Ok(connection) => edge.keep_connection(target, connection),
         Err(error) if error.is_refused() => {
             edge.target_unreachable(target, error.name());
--- a/crates/edge/src/http/connection.rs
+++ b/crates/edge/src/http/connection.rs
@@ -30,6 +30,9 @@
 /// Bytes of such answers that are skipped before the exchange fails.
 const MAX_SKIPPED_BYTES: usize = 1 << 20;
 
+/// Time in which a proxy closes a connection for which it cannot reach the target.
+const PROXY_CLOSE_TIME: Duration = Duration::from_millis(50);
+
 /// A connection on which no request is in flight.
 pub struct Connection {
     framed: Box<Framed<TcpStream, ClientCodec>>,
@@ -52,6 +55,24 @@
         })
     }
 
+    /// Like [`Self::open`], for a connection that the other end does not close at once. A proxy accepts
+    /// connections also for a target that is gone, and closes them when it cannot reach it.
+    ///
+    /// # Errors
+    /// As of [`Self::open`]; [`ExchangeError::CutOff`] if the connection was closed.
+    pub async fn open_lasting(
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, ExchangeError> {
+        let mut connection = Self::open(address, timeout).await?;
+        tokio::time::sleep(PROXY_CLOSE_TIME).await;
+        if connection.is_reusable() {
+            Ok(connection)
+        } else {
+            Err(ExchangeError::CutOff)
+        }
+    }
+
     pub(super) fn from_framed(framed: Box<Framed<TcpStream, ClientCodec>>) -> Self {
         Self { framed }
     }
--- a/crates/edge/src/serve/suspicion.rs
+++ b/crates/edge/src/serve/suspicion.rs
@@ -47,7 +47,7 @@
         let checks = presumed.iter().map(|target| async move {
             let asked_at = edge.now();
             let address = edge.address_if_listed(target)?;
-            let connected = Connection::open(address, VERIFICATION_TIMEOUT).await;
+            let connected = Connection::open_lasting(address, VERIFICATION_TIMEOUT).await;
             connected.ok().map(|_| (target, asked_at))
         });
         let answers = futures::future::join_all(checks).await;
