End a listed predecessor only for a target that is new at its address

A daemon that was cut off may learn of a target and of its crashed predecessor in one update, in the order of their names, and would have taken the running one out of use; so would a later change of the predecessor's entry. The change: only targets that became known earlier are ended, and only by one that is added or restarted. Before: of_two_targets_that_are_listed_together_none_has_ended fails to compile or to hold on the condition that is new here; not run on the code before.

--- a/crates/core/src/membership/crash_watch.rs
+++ b/crates/core/src/membership/crash_watch.rs
@@ -17,12 +17,13 @@
 /// Maximum number of targets that are checked at the same time; the others are delayed.
 pub const MAX_CHECKS: usize = 32;
 
-#[derive(Debug, Clone)]
-struct Watch {
-    target: TargetKey,
-    /// When the watch ends.
-    until: Moment,
-    check_at: Moment,
+value! {
+    struct Watch {
+        target: TargetKey,
+        /// When the watch ends.
+        until: Moment,
+        check_at: Moment,
+    }
 }
 
 /// Targets whose crash would concern a request that was given up.
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -50,6 +50,8 @@
     pub load: LoadView,
     /// When this daemon last received data from the target.
     pub last_received_at: Moment,
+    /// When this daemon learned of the incarnation.
+    known_since: Moment,
     /// When the target became [`Standing::Leaving`].
     left_at: Option<Moment>,
 }
@@ -181,15 +183,18 @@
         self.targets[position].update(now, entry, said_leaving)
     }
 
-    /// Marks targets as leaving that are still listed although the target `id` has their address: they
-    /// have ended, and their entries have not expired yet. Returns their incarnations.
+    /// Marks targets as leaving that are still listed although the new target `id` has their address:
+    /// they have ended, and their entries have not expired yet. Of two that became known at the same
+    /// time, it is not known which one has ended. Returns the incarnations.
     pub fn end_predecessors(&mut self, now: Moment, id: &str) -> Vec<TargetIncarnation> {
         let Some(address) = self.find(id).map(|target| target.entry.address) else {
             return Vec::new();
         };
         let targets = self.targets.iter_mut();
-        let predecessors = targets
-            .filter(|target| target.entry.address == address && target.entry.id.as_str() != id);
+        let predecessors = targets.filter(|target| {
+            let is_older = target.known_since < now;
+            is_older && target.entry.address == address && target.entry.id.as_str() != id
+        });
         let ended = predecessors.filter_map(|target| {
             let incarnation = target.entry.incarnation();
             target.leave(now).then_some(incarnation)
@@ -310,6 +315,7 @@
             pause: Pause::default(),
             load: LoadView::default(),
             last_received_at: now,
+            known_since: now,
             left_at: None,
             entry,
         };
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -173,3 +173,14 @@
     directory.apply(ms(3_000), entry("c"));
     assert_eq!(directory.end_predecessors(ms(3_000), "c"), []);
 }
+
+/// Guards against a running target that is taken out of use: a daemon that was cut off learns of it and of
+/// its predecessor in one update, in the order of their names.
+#[test]
+fn of_two_targets_that_are_listed_together_none_has_ended() {
+    let mut directory = Directory::default();
+    directory.apply(ms(5_300), entry("c"));
+    directory.apply(ms(5_300), entry("d"));
+    assert_eq!(directory.end_predecessors(ms(5_300), "d"), []);
+    assert_eq!(in_use(&directory), ["c", "d"]);
+}
--- a/crates/demo/tests/crashing_requests.rs
+++ b/crates/demo/tests/crashing_requests.rs
@@ -116,6 +116,15 @@
     }
 }
 
+fn fleet_size(engines: usize) -> FleetSize {
+    FleetSize {
+        daemons: DAEMONS,
+        engines,
+        services: 1,
+        ..FleetSize::midshire()
+    }
+}
+
 async fn start_fleet(name: &str, size: &FleetSize) -> Fleet {
     let directory = format!("lapismoor-test-{}-crashing-{name}", std::process::id());
     let directory: PathBuf = std::env::temp_dir().join(directory);
@@ -127,13 +136,7 @@
 }
 
 async fn play(name: &str, case: &Case) -> (Fleet, Vec<CrashingAnswer>) {
-    let size = FleetSize {
-        daemons: DAEMONS,
-        engines: 14,
-        services: 1,
-        ..FleetSize::midshire()
-    };
-    let mut fleet = start_fleet(name, &size).await;
+    let mut fleet = start_fleet(name, &fleet_size(14)).await;
     let mut answers = Vec::new();
     for number in 0..case.tries {
         let faults = set_faults(fleet.key_value_address, &case.store_faults(number)).await;
@@ -244,8 +247,7 @@
     );
 }
 
-/// Guards against evidence that is lost when callers leave: the daemon closes the connection to the engine
-/// while an answer is under way, and the engine ends a moment later.
+/// Guards against engines that end unseen because the caller left and the daemon closed the connection.
 #[test_case("leave-same", Order::Same)]
 #[test_case("leave-turn", Order::Turn)]
 #[test_case("leave-all", Order::All)]
@@ -257,13 +259,7 @@
         ..Case::new(order, Trouble::None, Return::Later)
     };
     let fleet = actix::System::new().block_on(async {
-        let size = FleetSize {
-            daemons: DAEMONS,
-            engines: 14,
-            services: 1,
-            ..FleetSize::midshire()
-        };
-        let mut fleet = start_fleet(name, &size).await;
+        let mut fleet = start_fleet(name, &fleet_size(14)).await;
         for number in 0..case.tries {
             let addresses = fleet.caller_addresses();
             let daemons = case.daemons(number);
@@ -278,18 +274,14 @@
     check_runs(&fleet);
 }
 
-/// Guards against interruptions that stop to count because the target's successor accepts connections at
-/// the same address while the old entry is still listed.
+/// Guards against a successor, at the address of a listed target that ended, taken for that target.
 #[test]
 fn successor_at_the_same_address_does_not_clear_a_request() {
     let _slot = FLEET_SLOTS[1].lock();
     let fleet = actix::System::new().block_on(async {
         let size = FleetSize {
-            daemons: DAEMONS,
-            engines: 6,
-            services: 1,
             heartbeat_ms: 2_000,
-            ..FleetSize::midshire()
+            ..fleet_size(6)
         };
         let mut fleet = start_fleet("successor", &size).await;
         let addresses = fleet.caller_addresses();
@@ -338,12 +330,9 @@
     let _slot = FLEET_SLOTS[0].lock();
     let answers = actix::System::new().block_on(async {
         let size = FleetSize {
-            daemons: DAEMONS,
-            engines: 6,
-            services: 1,
             tokens: 60,
             token_ms: 30,
-            ..FleetSize::midshire()
+            ..fleet_size(6)
         };
         let mut fleet = start_fleet("innocent", &size).await;
         let addresses = fleet.caller_addresses();
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -111,7 +111,8 @@
     if change == DirectoryChange::Same || cause == Cause::FirstList {
         return;
     }
-    let predecessors = if cause == Cause::Change {
+    let is_new = matches!(change, DirectoryChange::Added | DirectoryChange::Restarted);
+    let predecessors = if is_new && cause == Cause::Change {
         state.directory.end_predecessors(now, &id)
     } else {
         Vec::new()
