Soak with callers that leave a request which ends engines

What callers saw: nothing. The change: a second such request, which ends its engine although it is cancelled; its callers leave when the answer has begun. Its repeats are drawn after all other faults, which stay the same for each seed. The check and its bound are those of the first request.

--- a/crates/demo/src/crashing.rs
+++ b/crates/demo/src/crashing.rs
@@ -64,42 +64,54 @@
 ) -> CrashingAnswer {
     let request_id = format!("{:032x}", rand::random::<u128>());
     let client = awc::Client::builder().timeout(REQUEST_TIMEOUT).finish();
-    let mut request = chat(&client, address, marker)
-        .insert_header(("traceparent", format!("00-{request_id}-{:016x}-01", 1)));
+    let mut request = chat(&client, address, marker, &request_id);
     if identity == Identity::NewKey {
         let key = format!("{:016x}", rand::random::<u64>());
         request = request.insert_header(("idempotency-key", key));
     }
     let Ok(mut response) = request.send_json(&chat_body(marker, text)).await else {
-        return CrashingAnswer {
-            status: 0,
-            error: ("no answer".into(), "unknown".into()),
-            is_complete: false,
-            request_id,
-        };
+        return unanswered(request_id);
     };
     let bytes = response.body().await.unwrap_or_default();
-    let parsed: Value = serde_json::from_slice(&bytes).unwrap_or_default();
-    let text = |name: &str| {
-        parsed["error"][name]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned()
-    };
     CrashingAnswer {
         status: response.status().as_u16(),
-        error: (text("kind"), text("outcome")),
+        error: error_of(&bytes),
         is_complete: bytes.trim_ascii_end().ends_with(b"data: [DONE]"),
         request_id,
     }
 }
 
-fn chat(client: &awc::Client, address: SocketAddr, marker: &str) -> ClientRequest {
+fn unanswered(request_id: String) -> CrashingAnswer {
+    CrashingAnswer {
+        status: 0,
+        error: ("no answer".into(), "unknown".into()),
+        is_complete: false,
+        request_id,
+    }
+}
+
+/// Kind and outcome of the error in a body.
+fn error_of(body: &[u8]) -> (String, String) {
+    let parsed: Value = serde_json::from_slice(body).unwrap_or_default();
+    let text = |name: &str| {
+        let text = parsed["error"][name].as_str();
+        text.unwrap_or_default().to_owned()
+    };
+    (text("kind"), text("outcome"))
+}
+
+fn chat(
+    client: &awc::Client,
+    address: SocketAddr,
+    marker: &str,
+    request_id: &str,
+) -> ClientRequest {
     client
         .post(format!("http://{address}/v1/chat/completions"))
         .insert_header(("authorization", format!("Bearer {API_KEY}")))
         .insert_header(("x-profile", "shop-counter"))
         .insert_header(("x-chat-id", marker))
+        .insert_header(("traceparent", format!("00-{request_id}-{:016x}-01", 1)))
 }
 
 fn chat_body(marker: &str, text: &str) -> Value {
@@ -108,15 +120,22 @@
 }
 
 /// Sends a chat with `marker` and `text` to the daemon at `address`, and closes the connection when
-/// the first part of the answer has arrived. Returns the status; 0 if the connection failed.
-pub async fn send_and_leave(address: SocketAddr, marker: &str, text: &str) -> u16 {
+/// the first part of the answer has arrived.
+pub async fn send_and_leave(address: SocketAddr, marker: &str, text: &str) -> CrashingAnswer {
+    let request_id = format!("{:032x}", rand::random::<u128>());
     let client = awc::Client::builder().timeout(REQUEST_TIMEOUT).finish();
-    let request = chat(&client, address, marker);
+    let request = chat(&client, address, marker, &request_id);
     let Ok(mut response) = request.send_json(&chat_body(marker, text)).await else {
-        return 0;
+        return unanswered(request_id);
     };
-    drop(response.next().await);
-    response.status().as_u16()
+    let first = response.next().await;
+    let first = first.and_then(Result::ok).unwrap_or_default();
+    CrashingAnswer {
+        status: response.status().as_u16(),
+        error: error_of(&first),
+        is_complete: false,
+        request_id,
+    }
 }
 
 /// Starts every engine again that has ended, under the same id.
--- a/crates/soak/src/processes/crashing.rs
+++ b/crates/soak/src/processes/crashing.rs
@@ -4,13 +4,17 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use demo::crashing::{self, CrashingAnswer, Identity, MAX_LATE_RUNS};
+use demo::crashing::{
+    self, CRASH_ALTHOUGH_CANCELLED, CrashingAnswer, Identity, MAX_LATE_RUNS, send_and_leave,
+};
 use demo::fleet::Fleet;
 
-use super::plan::{CrashingSend, Fault, FaultStep};
+use super::plan::{CrashingSend, Fault, FaultPlan, FaultStep};
 
 /// Text that identifies the request in the records of the engines.
 const MARKER: &str = "soak-crashing";
+/// Text that identifies the request whose callers leave.
+const ABANDONED_MARKER: &str = "soak-abandoned";
 /// Time after a fault of a daemon's process in which the users' rule does not hold for it.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
@@ -20,13 +24,19 @@
     answer: CrashingAnswer,
 }
 
+/// The repeats of both requests.
+pub(super) struct AllSent {
+    crashing: Vec<Sent>,
+    abandoned: Vec<Sent>,
+}
+
 /// Sends all repeats at their times, without waiting for the answers of earlier ones.
 pub(super) async fn send_all(
     start: Instant,
-    sends: Vec<CrashingSend>,
+    plan: FaultPlan,
     addresses: Vec<SocketAddr>,
-) -> Vec<Sent> {
-    let sending = sends.into_iter().map(|send| {
+) -> AllSent {
+    let crashing = plan.crashing.into_iter().map(|send| {
         let address = addresses[send.daemon];
         async move {
             tokio::time::sleep_until((start + send.at).into()).await;
@@ -39,12 +49,43 @@
             Sent { send, answer }
         }
     });
-    futures::future::join_all(sending).await
+    let abandoned = plan.abandoned.into_iter().map(|send| {
+        let address = addresses[send.daemon];
+        async move {
+            tokio::time::sleep_until((start + send.at).into()).await;
+            let sending = send_and_leave(address, ABANDONED_MARKER, CRASH_ALTHOUGH_CANCELLED);
+            let answer = sending.await;
+            Sent { send, answer }
+        }
+    });
+    let (crashing, abandoned) = futures::join!(
+        futures::future::join_all(crashing),
+        futures::future::join_all(abandoned)
+    );
+    AllSent {
+        crashing,
+        abandoned,
+    }
 }
 
 /// Returns the guarantees that the requests violated.
-pub(super) fn verify(fleet: &Fleet, sent: &[Sent], steps: &[FaultStep]) -> io::Result<Vec<String>> {
-    let mut runs = crashing::runs(fleet, MARKER)?;
+pub(super) fn verify(
+    fleet: &Fleet,
+    sent: &AllSent,
+    steps: &[FaultStep],
+) -> io::Result<Vec<String>> {
+    let mut violations = verify_one(fleet, MARKER, &sent.crashing, steps)?;
+    violations.extend(verify_one(fleet, ABANDONED_MARKER, &sent.abandoned, steps)?);
+    Ok(violations)
+}
+
+fn verify_one(
+    fleet: &Fleet,
+    marker: &str,
+    sent: &[Sent],
+    steps: &[FaultStep],
+) -> io::Result<Vec<String>> {
+    let mut runs = crashing::runs(fleet, marker)?;
     let answers: Vec<CrashingAnswer> = sent.iter().map(|sent| sent.answer.clone()).collect();
     let false_refusals = crashing::false_refusals(&answers, &runs);
     let mut violations: Vec<String> = false_refusals
@@ -60,7 +101,7 @@
     if late > MAX_LATE_RUNS {
         let times: Vec<u64> = runs.iter().map(|run| run.time_ms).collect();
         violations.push(format!(
-            "a request that ends engines reached {late} engines too late, at {times:?}"
+            "{marker}: a request that ends engines reached {late} engines too late, at {times:?}"
         ));
     }
     Ok(violations)
--- a/crates/soak/src/processes/plan.rs
+++ b/crates/soak/src/processes/plan.rs
@@ -91,6 +91,8 @@
     pub steps: Vec<FaultStep>,
     /// Repeats of one request that ends every engine that runs it. Invariant: sorted by time.
     pub crashing: Vec<CrashingSend>,
+    /// Repeats of another one, whose callers leave when its answer has begun. Invariant: sorted by time.
+    pub abandoned: Vec<CrashingSend>,
 }
 
 impl FaultPlan {
@@ -108,7 +110,12 @@
             .collect();
         steps.sort_by_key(|step| step.at);
         let crashing = crashing_sends(&mut rng, counts);
-        Self { steps, crashing }
+        let abandoned = crashing_sends(&mut rng, counts);
+        Self {
+            steps,
+            crashing,
+            abandoned,
+        }
     }
 }
 
--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -83,7 +83,7 @@
     let load = LoadGenerator::start(&load_plan(config, &fleet_size, seed), &balancer);
     let crashing = actix_web::rt::spawn(crashing::send_all(
         Instant::now(),
-        plan.crashing.clone(),
+        plan.clone(),
         fleet.caller_addresses(),
     ));
     inject_faults(&mut fleet, &proxies, config, &plan).await?;
@@ -109,8 +109,8 @@
 /// Waits for the answers to the request that ends engines, and starts these again meanwhile.
 async fn wait_for_crashing(
     fleet: &mut Fleet,
-    crashing: JoinHandle<Vec<crashing::Sent>>,
-) -> io::Result<Vec<crashing::Sent>> {
+    crashing: JoinHandle<crashing::AllSent>,
+) -> io::Result<crashing::AllSent> {
     while !crashing.is_finished() {
         restart_ended_engines(fleet)?;
         tokio::time::sleep(POLL_INTERVAL).await;
