Log the prompt parts of requests that were interrupted

The lines of interrupted requests name a fingerprint of their content only, so that they can't tell whether requests that end engines have a part of their prompts in common. attempt_failed and caller_left now list the ids of the parts that other requests may share.

--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -188,7 +188,7 @@
             return Err(NoTarget::NoneInUse);
         }
         let bounds = self.bounds(&candidates, query.preference.bound.as_ref());
-        let shared_part = shared_parts(query.parts).last();
+        let shared_part = placement_parts(query.parts).last();
         let choice = match shared_part {
             Some(part) => self.choose_home(now, directory, &candidates, query, (part, bounds)),
             None => self.choose_least_loaded(&candidates, query, bounds),
@@ -337,16 +337,22 @@
     }
 }
 
-/// Returns the parts that other requests may share: all but the last, or the only one.
-fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+/// The parts of a prompt that other requests may share: all but the last.
+#[must_use]
+pub fn shared_prompt_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+/// The parts by which a request is placed: the shared ones, or the only one.
+fn placement_parts(parts: &[PromptPart]) -> &[PromptPart] {
     match parts {
         [] | [_] => parts,
-        [shared_parts @ .., _] => shared_parts,
+        _ => shared_prompt_parts(parts),
     }
 }
 
 fn shared_tokens(parts: &[PromptPart]) -> u32 {
-    let tokens = shared_parts(parts).iter().map(|part| part.tokens);
+    let tokens = placement_parts(parts).iter().map(|part| part.tokens);
     tokens.fold(0, u32::saturating_add)
 }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -13,6 +13,7 @@
 
 pub use choice::{
     AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, Reason, TargetQuery,
+    shared_prompt_parts,
 };
 pub use config::{CallerLimits, RoutingConfig, Service, Workspace};
 pub use fleet_sample::{FleetSample, Observations, TargetLoad};
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -6,7 +6,7 @@
 use lapismoor_core::admission::suspects::Judgement;
 use lapismoor_core::ids::TargetId;
 use lapismoor_core::retry::{NextStep, Obstacle};
-use lapismoor_core::routing::Choice;
+use lapismoor_core::routing::{Choice, shared_prompt_parts};
 
 use super::attempt::{BufferedAnswer, FailedAttempt};
 use super::job::Job;
@@ -37,6 +37,13 @@
     texts.collect::<Vec<String>>().join(" ")
 }
 
+/// Ids of the prompt parts that other requests may share, in order.
+fn shared_parts(job: &Job) -> String {
+    let parts = shared_prompt_parts(&job.request.envelope.parts).iter();
+    let ids = parts.map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<String>>().join(" ")
+}
+
 /// Logs the evidence in spite of which a request is sent, if there is any.
 pub(crate) fn suspect_sent(job: &Job) {
     let counted = observed(job, &[Judgement::Counted]);
@@ -187,6 +194,7 @@
         end:? = failed.end,
         cause = failed.cause,
         fingerprint:% = format_args!("{:016x}", job.fingerprint),
+        parts = shared_parts(job),
         next:? = step,
         runs = job.progress.get().runs,
         retries_left,
@@ -269,6 +277,7 @@
         request:% = job.request.envelope.id,
         service:% = job.request.service,
         fingerprint:% = format_args!("{:016x}", job.fingerprint),
+        parts = shared_parts(job),
         target = sent_to.map(|target| target.id.as_str()),
         is_delivering = job.is_delivering,
         runs = job.progress.get().runs,
