Let a request run whose crashes another one explains

Cause: each fingerprint was judged by itself. What was at the same crashes and at more of them was not asked.

Change: the blame that tells prompt parts apart holds for contents too. Blamed parts explain crashes first, then the contents with most crashes; a content that has one unexplained crash at most may run. A part that is only suspected does not explain the contents that hold it, so that a crashing request is not excused by its own prompt.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -15,6 +15,7 @@
 
 mod answered;
 mod answered_parts;
+mod blame;
 mod evidence;
 mod prompt_parts;
 mod sharing;
--- a/crates/core/src/admission/suspects/prompt_parts.rs
+++ b/crates/core/src/admission/suspects/prompt_parts.rs
@@ -6,10 +6,7 @@
 //!
 //! A part is suspected after [`CRASHES_ALLOWED`] crashes without an answer in between, each under
 //! an attempt that was sent when the crash before was known: a failure domain that crashes at once
-//! counts as one. Blamed are first the parts on which no target has ever answered, then those that explain most
-//! crashes. A part whose crashes are explained by others may be used.
-
-use std::cmp::Reverse;
+//! counts as one. It is blamed if no other part explains the crashes (`blame`).
 
 use super::verdict::Standing;
 use super::{CRASHES_ALLOWED, Record, SuspectKind, Suspects};
@@ -20,12 +17,6 @@
 
 /// Maximum number of parts of a prompt that are followed. A caller may send any number.
 const MAX_FOLLOWED_PARTS: usize = 32;
-/// Crashes that no other part explains, from which on a suspected part is blamed. Evidence against the
-/// other part may be under way.
-const MIN_UNEXPLAINED_CRASHES: usize = 2;
-/// Maximum number of parts that explain crashes together without being suspected themselves. Each
-/// session has a part of its own.
-const MAX_EXPLAINING_PARTS: usize = 2;
 /// Crashes after which the users' requirement counts the requests with a part that still reach targets.
 const MANY_CRASHES: usize = 5;
 
@@ -45,24 +36,6 @@
     followed
 }
 
-/// A part that may explain several crashes.
-struct Candidate<'a> {
-    fingerprint: Fingerprint,
-    /// Whether a target has answered on it before.
-    is_answered: bool,
-    is_suspected: bool,
-    /// Trials that were claimed and did not clear it.
-    trials: u32,
-    /// Targets that crashed, each with the number of its crashes. Invariant: sorted, one for each.
-    crashes: Vec<(&'a TargetIncarnation, usize)>,
-}
-
-impl Candidate<'_> {
-    fn crash_count(&self) -> usize {
-        self.crashes.iter().map(|(_, count)| count).sum()
-    }
-}
-
 impl Suspects {
     pub(super) fn part_standing(&self, now: Moment, fingerprint: Fingerprint) -> Standing {
         let records = self.of(fingerprint);
@@ -85,56 +58,6 @@
         is_part && following_crashes(records) >= CRASHES_ALLOWED
     }
 
-    /// Whether the crashes under requests with a suspected part are not explained by other parts.
-    /// Parts on which no target has answered yet come first, then those with most crashes.
-    pub(super) fn is_blamed(&self, part: Fingerprint) -> bool {
-        let mut candidates = self.candidates();
-        candidates.sort_by_key(|candidate| {
-            let order = (candidate.crash_count(), candidate.trials);
-            (candidate.is_answered, Reverse(order), candidate.fingerprint)
-        });
-        let mut explained: Vec<&TargetIncarnation> = Vec::new();
-        let mut explaining = 0;
-        for candidate in candidates {
-            let unexplained = candidate.crashes.iter();
-            let unexplained =
-                unexplained.filter(|(target, _)| explained.binary_search(target).is_err());
-            let count: usize = unexplained.map(|(_, count)| count).sum();
-            let is_blamed = candidate.is_suspected && count >= MIN_UNEXPLAINED_CRASHES;
-            if candidate.fingerprint == part {
-                return is_blamed;
-            }
-            let may_explain = !candidate.is_answered && explaining < MAX_EXPLAINING_PARTS;
-            if is_blamed || may_explain {
-                explaining += 1;
-                explained.extend(candidate.crashes.iter().map(|(target, _)| *target));
-                explained.sort_unstable();
-            }
-        }
-        false
-    }
-
-    /// The parts that may explain crashes.
-    fn candidates(&self) -> Vec<Candidate<'_>> {
-        let by_fingerprint = self
-            .records
-            .chunk_by(|left, right| left.fingerprint == right.fingerprint);
-        let of_parts = by_fingerprint.filter(|records| records[0].kind == SuspectKind::PromptPart);
-        let candidates = of_parts.map(|records| {
-            let fingerprint = records[0].fingerprint;
-            Candidate {
-                fingerprint,
-                is_answered: self.answered_parts.contains(fingerprint),
-                is_suspected: following_crashes(records) >= CRASHES_ALLOWED,
-                trials: self.trials_that_count(fingerprint),
-                crashes: crashes_by_target(records),
-            }
-        });
-        candidates
-            .filter(|candidate| candidate.crash_count() > 1)
-            .collect()
-    }
-
     /// Allows a prompt part all its trials again if the interruption that was withdrawn was the last.
     pub(super) fn reset_trials_if_cleared(&mut self, withdrawn: &Record) {
         let fingerprint = withdrawn.fingerprint;
@@ -152,7 +75,7 @@
 /// presuppose may have been withdrawn. Many crashes in quick succession make a short chain, as the
 /// requests are sent before the crashes of others are known: [`MANY_CRASHES`] that are not all of the
 /// same moment suffice as well.
-fn following_crashes(records: &[Record]) -> usize {
+pub(super) fn following_crashes(records: &[Record]) -> usize {
     let counted = records.iter().filter(|record| record.counts());
     let depth = counted.map(|record| record.depth).max().unwrap_or_default();
     let crashes = crashes_by_target(records);
@@ -167,7 +90,7 @@
 
 /// The crashes that count; several daemons may have seen the same one. The records are of one
 /// fingerprint, and so sorted by target.
-fn crashes_by_target(records: &[Record]) -> Vec<(&TargetIncarnation, usize)> {
+pub(super) fn crashes_by_target(records: &[Record]) -> Vec<(&TargetIncarnation, usize)> {
     let at_targets = records.chunk_by(|left, right| left.target == right.target);
     let crashes = at_targets.filter_map(|records| {
         let counted = records.iter().filter(|record| record.counts());
--- a/crates/core/src/admission/suspects/verdict.rs
+++ b/crates/core/src/admission/suspects/verdict.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::blame::count_occurrences;
 use super::{
     Belief, CRASHES_ALLOWED, KnownTrial, MAX_BAN, MAX_TRIALS, Record, SuspectKind, Suspects,
 };
@@ -126,15 +127,14 @@
         let (Some(age), true) = (standing.age, standing.crashes >= CRASHES_ALLOWED) else {
             return Verdict::Run;
         };
-        let kind = self.kind(fingerprint);
-        if kind == SuspectKind::PromptPart && !self.is_blamed(fingerprint) {
+        if !self.is_blamed(fingerprint) {
             return Verdict::Run;
         }
         if standing.trials >= MAX_TRIALS {
             let retry_after = MAX_BAN.saturating_sub(age);
             return Verdict::Refuse { retry_after };
         }
-        let delay = match kind {
+        let delay = match self.kind(fingerprint) {
             SuspectKind::Content => content_trial_delay(&standing),
             SuspectKind::PromptPart => part_trial_delay(&standing),
         };
@@ -185,7 +185,7 @@
             occurrences.max().unwrap_or_default()
         });
         Standing {
-            crashes: counted.map(|record| record.occurrences as usize).sum(),
+            crashes: count_occurrences(self.of(fingerprint)),
             consecutive: most_seen.sum(),
             trials: self.trials_that_count(fingerprint),
             age: last_noted_at.map(|at| now.saturating_sub(at)),
