Excuse only requests that were answered before by what others explain

Cause: a second cause looks like a bystander while both run. What tells them apart is an answer: a bystander was answered in between.

Change: a content is excused only if an answer to it is known; witnesses share that with their evidence, so that daemons that start again know it as well. Contents are remembered only after an interruption.

--- a/crates/core/src/admission/suspects/answered.rs
+++ b/crates/core/src/admission/suspects/answered.rs
@@ -76,10 +76,10 @@
         now: Moment,
         attempt: AnsweredAttempt,
     ) -> Option<usize> {
-        if attempt.kind == SuspectKind::PromptPart {
-            self.answered_parts.record(now, attempt.fingerprint);
-        }
         let range = self.range(attempt.fingerprint);
+        if attempt.kind == SuspectKind::PromptPart || !range.is_empty() {
+            self.answer_history.record(now, attempt.fingerprint);
+        }
         if range.is_empty() || self.pending_clears.len() >= MAX_RECORDS {
             return None;
         }
--- a/crates/core/src/admission/suspects/blame.rs
+++ b/crates/core/src/admission/suspects/blame.rs
@@ -5,7 +5,8 @@
 //! cause. The cause is at all crashes, the others at some of them.
 //!
 //! Blamed are first the parts on which no target has ever answered, then those that explain most crashes, then
-//! contents in the same order. What has its crashes explained by others may run.
+//! contents in the same order. What has its crashes explained by others may run. A content that was never
+//! answered is not excused by others: it may be a second cause.
 
 use std::cmp::Reverse;
 
@@ -24,7 +25,7 @@
 /// A content or part that may explain several crashes.
 struct Candidate<'a> {
     fingerprint: Fingerprint,
-    /// Whether a target has answered on this part before.
+    /// Whether a target has answered it before.
     is_answered: bool,
     is_suspected: bool,
     /// Targets that crashed, each with the number of its crashes. Invariant: sorted, one for each.
@@ -78,6 +79,9 @@
                 explained.add(&part);
             }
         }
+        if !is_part && !self.answer_history.contains(suspect) {
+            return true;
+        }
         for content in self.content_candidates() {
             let is_blamed = explained.missing(&content) >= MIN_UNEXPLAINED_CRASHES;
             if content.fingerprint == suspect {
@@ -131,7 +135,7 @@
         };
         Candidate {
             fingerprint,
-            is_answered: self.answered_parts.contains(fingerprint),
+            is_answered: self.answer_history.contains(fingerprint),
             is_suspected: crashes >= CRASHES_ALLOWED,
             crashes: crashes_by_target(records),
         }
--- a/crates/core/src/admission/suspects/evidence.rs
+++ b/crates/core/src/admission/suspects/evidence.rs
@@ -29,6 +29,9 @@
         /// that was sent when the one before was known; 0 if it does not say.
         #[serde(default)]
         pub depth: u32,
+        /// Whether the witness knows of an answer to the request, or to one with the part.
+        #[serde(default)]
+        pub is_answered: bool,
         /// Number of attempts of the witness that were interrupted there one after the other.
         pub occurrences: u32,
     }
@@ -62,8 +65,9 @@
 }
 
 impl SharedInterruption {
-    pub(super) fn of(record: &Record) -> Self {
+    pub(super) fn of(record: &Record, is_answered: bool) -> Self {
         Self {
+            is_answered,
             kind: record.kind,
             fingerprint: record.fingerprint,
             target: record.target.clone(),
--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -13,8 +13,8 @@
 //! target's entry. It stops to count if the target answers a later request or is still listed after
 //! [`CONFIRMATION_WINDOW`]. An answer clears the request, unless its target ends a moment later.
 
+mod answer_history;
 mod answered;
-mod answered_parts;
 mod blame;
 mod evidence;
 mod prompt_parts;
@@ -28,8 +28,8 @@
 use crate::clock::Moment;
 use crate::ids::{Fingerprint, Incarnation};
 use crate::membership::TargetIncarnation;
+use answer_history::AnswerHistory;
 use answered::PendingClear;
-use answered_parts::AnsweredParts;
 
 pub use answered::{AnsweredAttempt, LISTING_TIME, SURVIVAL_TIME, TRIAL_SURVIVAL_TIME};
 pub use evidence::{Evidence, EvidenceError, SharedInterruption, Withdrawal};
@@ -178,8 +178,8 @@
     /// Answered requests whose targets may still end. Invariant: sorted by fingerprint and target, one
     /// for each; at most [`MAX_RECORDS`].
     pending_clears: Vec<PendingClear>,
-    /// Prompt parts on which targets have answered.
-    answered_parts: AnsweredParts,
+    /// Prompt parts and suspect contents that targets have answered.
+    answer_history: AnswerHistory,
 }
 
 impl Suspects {
--- a/crates/core/src/admission/suspects/sharing.rs
+++ b/crates/core/src/admission/suspects/sharing.rs
@@ -27,6 +27,9 @@
         }
         let mut changed = Vec::new();
         for shared in &evidence.interrupted {
+            if shared.is_answered {
+                self.answer_history.record(now, shared.fingerprint);
+            }
             let record = Record {
                 kind: shared.kind,
                 fingerprint: shared.fingerprint,
@@ -94,7 +97,8 @@
                 continue;
             }
             is_urgent |= is_repeated;
-            interrupted.push(SharedInterruption::of(record));
+            let is_answered = self.answer_history.contains(record.fingerprint);
+            interrupted.push(SharedInterruption::of(record, is_answered));
             let record = &mut self.records[position];
             record.sharing = Sharing::Sent;
             record.shared_occurrences = record.occurrences;
