Move streams on whose target sends bytes, but no event

What callers saw, in a test: a stream whose target sends a byte of an event now and then, and never all of it, stood still until its deadline and was cut off then, although another target could go on with it.

Cause: each byte restarted the wait after which other targets are offered the stream.

Change: the wait goes on until an event is complete. A target that sends parts of an event is late, not silent, so that it is not paused for others. Slow streams are not cut: the open attempt ends only when another target has taken the stream over.

Before: another_target_takes_over_from_one_that_stays_silent, case "stream that sends a byte now and then", failed after 20 s without the events 3 and 4. After: passes within 1.6 s and the overlap; silent_targets 26 of 26, endless_answers 16 of 16, outcomes 29 of 29, twice.

--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -31,6 +31,28 @@
     forwarded_at: Option<Moment>,
     /// Whether the current target has sent events.
     has_events: bool,
+    wait: EventWait,
+}
+
+/// The wait for the next event of the current target. Bytes of an event that is not complete don't end it.
+struct EventWait {
+    /// When the last event, or the answer, arrived.
+    since: Moment,
+    /// When it is checked whether another target can go on with the stream.
+    check_at: Moment,
+    /// Whether that was checked before.
+    is_checked: bool,
+}
+
+impl EventWait {
+    fn begin(job: &Job) -> Self {
+        let now = job.edge.now();
+        Self {
+            since: now,
+            check_at: now + job.edge.settings.tuning.event_silence_timeout,
+            is_checked: false,
+        }
+    }
 }
 
 enum Step {
@@ -43,6 +65,7 @@
         job.is_streaming = true;
         let splitter = EventSplitter::resumed_after(job.request.envelope.last_event);
         Self {
+            wait: EventWait::begin(&job),
             job,
             choice,
             answer,
@@ -96,26 +119,20 @@
             if !events.is_empty() {
                 self.job.is_delivering = true;
                 self.has_events = true;
+                self.wait = EventWait::begin(&self.job);
                 self.record_latency();
                 return Ok(Step::Events(events));
             }
         }
     }
 
-    /// The next bytes of the answer. While the target is silent, other targets are offered the stream.
+    /// The next bytes of the answer. While no event arrives, other targets are offered the stream.
     async fn read_bytes(&mut self) -> Result<Option<Bytes>, FailedAttempt> {
-        let event_silence_timeout = self.job.edge.settings.tuning.event_silence_timeout;
-        let mut silent_since = self.job.edge.now();
-        let mut is_checked = false;
         loop {
             let time_left = self.job.time_left();
-            let silence = if is_checked {
-                CHECK_INTERVAL
-            } else {
-                event_silence_timeout
-            };
+            let until_check = self.wait.check_at.saturating_sub(self.job.edge.now());
             let timeout = if self.job.allows_replacement() {
-                time_left.min(silence)
+                time_left.min(until_check)
             } else {
                 time_left
             };
@@ -126,13 +143,18 @@
             if self.job.time_left().is_zero() {
                 return Err(FailedAttempt::not_awaited("time_up"));
             }
-            let is_first = !std::mem::replace(&mut is_checked, true);
-            let overdue = Overdue::Silent;
+            self.wait.check_at = self.job.edge.now() + CHECK_INTERVAL;
+            let is_first = !std::mem::replace(&mut self.wait.is_checked, true);
+            let overdue = if self.splitter.has_partial_event() {
+                Overdue::Slow
+            } else {
+                Overdue::Silent
+            };
             let found = takeover::find_replacement(
                 &self.job,
                 &self.choice,
                 overdue,
-                silent_since,
+                self.wait.since,
                 is_first,
             );
             let Some(choice) = found else {
@@ -153,8 +175,7 @@
                     let (choice, result) = waiting.await;
                     self.choice = choice;
                     self.answer = result?;
-                    silent_since = self.job.edge.now();
-                    is_checked = false;
+                    self.wait = EventWait::begin(&self.job);
                 }
             }
         }
@@ -197,6 +218,7 @@
             match result {
                 Ok(answer) => {
                     self.answer = answer;
+                    self.wait = EventWait::begin(&self.job);
                     return Ok(());
                 }
                 Err(error) => failed = error,
