Do not take an empty stream that ends with its connection for complete

What callers would see: an engine that answers with neither a length nor chunks and ends as it begins to write gave a complete stream without any event. The request was taken for served, so that its crash was not counted either.

Change: a stream of this kind that ends before its first event was broken off: it is resumed or cut off, and counts as an interruption. What remains: one that is broken off between two events looks complete.

--- a/crates/edge/src/history/cause.rs
+++ b/crates/edge/src/history/cause.rs
@@ -19,7 +19,7 @@
 }
 
 /// Name, meaning and remedy of each known cause.
-const CAUSES: [(&str, &str, &str); 32] = [
+const CAUSES: [(&str, &str, &str); 33] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -165,6 +165,11 @@
         "the target ended its stream in the middle of an event",
         "check whether the target crashed",
     ),
+    (
+        "no_event",
+        "the target ended its connection before the first event of a stream without length or chunks",
+        "check whether the target crashed",
+    ),
     (
         "resume_refused",
         "no target could resume the stream",
--- a/crates/edge/src/http/answer.rs
+++ b/crates/edge/src/http/answer.rs
@@ -54,6 +54,8 @@
 /// The body of an answer, read chunk by chunk.
 pub struct AnswerBody {
     source: Source,
+    /// Whether a length or chunks tell where the body ends; otherwise the connection ends with it.
+    is_delimited: bool,
 }
 
 enum Source {
@@ -70,7 +72,8 @@
 impl AnswerBody {
     /// The body that follows `head` on the connection.
     pub(super) fn new(head: &ResponseHead, framed: Box<Framed<TcpStream, ClientCodec>>) -> Self {
-        let source = if ends_with_connection(head) {
+        let ends_with_connection = ends_with_connection(head);
+        let source = if ends_with_connection {
             let parts = framed.into_parts();
             Source::UntilClose {
                 io: parts.io,
@@ -86,7 +89,16 @@
             });
             Source::Framed(Box::new(framed))
         };
-        Self { source }
+        Self {
+            source,
+            is_delimited: !ends_with_connection,
+        }
+    }
+
+    /// Whether the end of the body can be told from the end of the connection.
+    #[must_use]
+    pub fn is_delimited(&self) -> bool {
+        self.is_delimited
     }
 
     /// The next bytes; `None` at the end of the body.
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -111,6 +111,9 @@
                 return Err(FailedAttempt::not_awaited("time_up"));
             }
             let Some(bytes) = self.read_bytes().await? else {
+                if !self.has_events && !self.answer.body.is_delimited() {
+                    return Err(FailedAttempt::connection_lost("no_event"));
+                }
                 return Ok(Step::End);
             };
             self.job.edge.target_heard(self.answer.target);
