Take the greatest numbers in records about interruptions

Found by greatest_numbers_in_records_are_taken, which failed with "attempt to add with overflow". The sums saturate.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -235,7 +235,7 @@
         *known = Record {
             is_consecutive: record.is_consecutive || known.is_consecutive,
             depth: record.depth.max(known.depth),
-            occurrences: known.occurrences + u32::from(is_further),
+            occurrences: known.occurrences.saturating_add(u32::from(is_further)),
             shared_occurrences: known.shared_occurrences,
             ..record
         };
@@ -396,7 +396,8 @@
         let known_by = sent_at.min(noted_at.saturating_sub(MIN_LINK_TIME));
         let known = self.of(fingerprint).iter();
         let before = known.filter(|record| record.counts() && record.noted_at <= known_by);
-        1 + before.map(|record| record.depth).max().unwrap_or_default()
+        let longest = before.map(|record| record.depth).max().unwrap_or_default();
+        longest.saturating_add(1)
     }
 
     /// Records of one request.
--- a/crates/core/src/admission/suspects/verdict.rs
+++ b/crates/core/src/admission/suspects/verdict.rs
@@ -148,7 +148,7 @@
         let retry_after = delay.saturating_sub(age);
         if retry_after.is_zero() {
             return Verdict::Trial {
-                number: 1 + last_trial.map_or(0, |known| known.last.number),
+                number: last_trial.map_or(1, |known| known.last.number.saturating_add(1)),
             };
         }
         Verdict::Refuse { retry_after }
--- a/crates/core/tests/suspect_parts.rs
+++ b/crates/core/tests/suspect_parts.rs
@@ -272,6 +272,27 @@
     assert_eq!(suspects.merge(ms(100), &evidence), vec![CRASHING]);
 }
 
+/// Guards against a process that ends because a record holds the greatest numbers there are.
+#[test]
+fn greatest_numbers_in_records_are_taken() {
+    let text = br#"{"witness":5,"interrupted":[{"kind":"prompt_part","fingerprint":666,"target":{"id":"engine-1",
+        "started_unix_ms":18446744073709551615},"is_consecutive":true,"depth":4294967295,
+        "occurrences":4294967295}],"withdrawn":[]}"#;
+    let evidence = Evidence::parse(text).expect("valid evidence");
+    let mut suspects = Suspects::new(1);
+    suspects.merge(ms(100), &evidence);
+    crash(&mut suspects, &[CRASHING], 2, 1_000);
+    suspects.record_trial(
+        ms(1_100),
+        TrialRecord {
+            fingerprint: CRASHING,
+            number: u32::MAX,
+        },
+    );
+    let verdict = suspects.verdict(ms(100_000), CRASHING);
+    assert!(matches!(verdict, Verdict::Refuse { .. }), "{verdict:?}");
+}
+
 /// The last part is the request's own, and a service may serve what another one's targets crash under.
 #[test]
 fn shared_parts_of_a_service_are_followed() {
