Soak and demo send requests that share a crashing prompt part

The check is the users': at most three runs later than 3 s after the fifth end, those of daemons that were themselves disturbed excepted.

--- a/crates/demo/src/crashing.rs
+++ b/crates/demo/src/crashing.rs
@@ -16,6 +16,10 @@
 const DETECTION_TIME_MS: u64 = 3_000;
 /// Engines that the request may still reach after that, by the same rule.
 pub const MAX_LATE_RUNS: usize = 3;
+/// Ends after which the users' rule counts the runs of one request.
+pub const ENDS_OF_A_REQUEST: usize = 3;
+/// Ends after which the users' rule counts the runs of requests that share a prompt part.
+pub const ENDS_OF_A_PART: usize = 5;
 /// Timeout of one request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// API key of the workspace `north-mobile` in `examples/midshire.json`.
@@ -69,7 +73,21 @@
         let key = format!("{:016x}", rand::random::<u64>());
         request = request.insert_header(("idempotency-key", key));
     }
-    let Ok(mut response) = request.send_json(&chat_body(marker, text)).await else {
+    read_answer(request, &chat_body(marker, text), request_id).await
+}
+
+/// Sends a request of its own content in `chat`, whose context is the prompt part that ends engines after some
+/// tokens.
+pub async fn send_in_chat(address: SocketAddr, chat_id: &str, marker: &str) -> CrashingAnswer {
+    let request_id = format!("{:032x}", rand::random::<u128>());
+    let client = awc::Client::builder().timeout(REQUEST_TIMEOUT).finish();
+    let request = chat(&client, address, chat_id, &request_id);
+    let body = chat_body(marker, CRASH_WHILE_ANSWERING);
+    read_answer(request, &body, request_id).await
+}
+
+async fn read_answer(request: ClientRequest, body: &Value, request_id: String) -> CrashingAnswer {
+    let Ok(mut response) = request.send_json(body).await else {
         return unanswered(request_id);
     };
     let bytes = response.body().await.unwrap_or_default();
@@ -103,14 +121,14 @@
 fn chat(
     client: &awc::Client,
     address: SocketAddr,
-    marker: &str,
+    chat_id: &str,
     request_id: &str,
 ) -> ClientRequest {
     client
         .post(format!("http://{address}/v1/chat/completions"))
         .insert_header(("authorization", format!("Bearer {API_KEY}")))
         .insert_header(("x-profile", "shop-counter"))
-        .insert_header(("x-chat-id", marker))
+        .insert_header(("x-chat-id", chat_id))
         .insert_header(("traceparent", format!("00-{request_id}-{:016x}-01", 1)))
 }
 
@@ -156,23 +174,41 @@
 /// # Errors
 /// If the records of an engine cannot be read.
 pub fn runs(fleet: &Fleet, marker: &str) -> io::Result<Vec<RunRecord>> {
+    runs_where(fleet, |known| known == marker)
+}
+
+/// Runs of requests whose markers start with `prefix`, in order of their start.
+///
+/// # Errors
+/// If the records of an engine cannot be read.
+pub fn runs_with_prefix(fleet: &Fleet, prefix: &str) -> io::Result<Vec<RunRecord>> {
+    runs_where(fleet, |known| known.starts_with(prefix))
+}
+
+fn runs_where(fleet: &Fleet, is_wanted: impl Fn(&str) -> bool) -> io::Result<Vec<RunRecord>> {
     let mut found = Vec::new();
     for engine in &fleet.engines {
         let records = TargetRecords::read(&engine.name, &engine.records_path, None)?.records;
-        let is_run = |record: &RunRecord| record.what == "begin" && record.marker == marker;
+        let is_run = |record: &RunRecord| record.what == "begin" && is_wanted(&record.marker);
         found.extend(records.into_iter().filter(is_run));
     }
     found.sort_by_key(|record| record.time_ms);
     Ok(found)
 }
 
-/// Number of runs that started when all daemons had to know of the third.
+/// Number of runs of a request that started when all daemons had to know of the third.
 #[must_use]
 pub fn late_runs(runs: &[RunRecord]) -> usize {
-    let Some(third) = runs.get(2) else {
+    runs_after(runs, ENDS_OF_A_REQUEST)
+}
+
+/// Number of runs that started when all daemons had to know of the run with the number `ends`.
+#[must_use]
+pub fn runs_after(runs: &[RunRecord], ends: usize) -> usize {
+    let Some(last) = runs.get(ends - 1) else {
         return 0;
     };
-    let known_from_ms = third.time_ms + DETECTION_TIME_MS;
+    let known_from_ms = last.time_ms + DETECTION_TIME_MS;
     let late = runs.iter().filter(|run| run.time_ms > known_from_ms);
     late.count()
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,7 +9,7 @@
 use lapismoor_core::config::Config;
 use soak::compare::{self, Summary};
 use soak::deployment::Deployment;
-use soak::processes::{self, CalmOutcome, CalmPlan, FaultStep, Outcome, ProcessCounts};
+use soak::processes::{self, Additions, CalmOutcome, CalmPlan, FaultStep, Outcome, ProcessCounts};
 use soak::slopes;
 
 /// Run long checks and measurements
@@ -30,6 +30,8 @@
         engines: usize,
         /// Add silences: engines are suspended for about a second and go on
         silences: bool,
+        /// Add requests that share a prompt part that ends engines, no two alike
+        parts: bool,
         /// Directory for logs and records; kept only for failing seeds
         #[bpaf(argument("DIR"))]
         directory: Option<PathBuf>,
@@ -74,15 +76,20 @@
             daemons,
             engines,
             silences,
+            parts,
             directory,
         } => {
+            let additions = Additions {
+                has_silences: silences,
+                has_crashing_part: parts,
+            };
             let counts = ProcessCounts {
                 daemons,
                 engines,
                 services: 2,
             };
             run_seeds(seeds, directory, |program, directory, config, seed| {
-                let running = processes::run(program, directory, counts, config, seed, silences);
+                let running = processes::run(program, directory, counts, config, seed, additions);
                 Ok(actix_web::rt::System::new().block_on(running)?.into())
             })
         }
--- a/crates/soak/src/processes/crashing.rs
+++ b/crates/soak/src/processes/crashing.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use demo::crashing::{
-    self, CRASH_ALTHOUGH_CANCELLED, CrashingAnswer, Identity, MAX_LATE_RUNS, send_and_leave,
+    self, CRASH_ALTHOUGH_CANCELLED, CrashingAnswer, ENDS_OF_A_PART, ENDS_OF_A_REQUEST, Identity,
+    MAX_LATE_RUNS, send_and_leave,
 };
 use demo::fleet::Fleet;
 
@@ -15,6 +16,8 @@
 const MARKER: &str = "soak-crashing";
 /// Text that identifies the request whose callers leave.
 const ABANDONED_MARKER: &str = "soak-abandoned";
+/// Chat whose context ends engines, and start of the markers of the requests in it.
+const CRASHING_CHAT: &str = "soak-part";
 /// Time after a fault of a daemon's process in which the users' rule does not hold for it.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
@@ -24,10 +27,11 @@
     answer: CrashingAnswer,
 }
 
-/// The repeats of both requests.
+/// The repeats of both requests, and the requests that share a part.
 pub(super) struct AllSent {
     crashing: Vec<Sent>,
     abandoned: Vec<Sent>,
+    sharing_part: Vec<Sent>,
 }
 
 /// Sends all repeats at their times, without waiting for the answers of earlier ones.
@@ -58,13 +62,25 @@
             Sent { send, answer }
         }
     });
-    let (crashing, abandoned) = futures::join!(
+    let numbered = plan.sharing_part.into_iter().enumerate();
+    let sharing_part = numbered.map(|(number, send)| {
+        let address = addresses[send.daemon];
+        async move {
+            tokio::time::sleep_until((start + send.at).into()).await;
+            let marker = format!("{CRASHING_CHAT}-{number}");
+            let answer = crashing::send_in_chat(address, CRASHING_CHAT, &marker).await;
+            Sent { send, answer }
+        }
+    });
+    let (crashing, abandoned, sharing_part) = futures::join!(
         futures::future::join_all(crashing),
-        futures::future::join_all(abandoned)
+        futures::future::join_all(abandoned),
+        futures::future::join_all(sharing_part)
     );
     AllSent {
         crashing,
         abandoned,
+        sharing_part,
     }
 }
 
@@ -74,30 +90,36 @@
     sent: &AllSent,
     steps: &[FaultStep],
 ) -> io::Result<Vec<String>> {
-    let mut violations = verify_one(fleet, MARKER, &sent.crashing, steps)?;
-    violations.extend(verify_one(fleet, ABANDONED_MARKER, &sent.abandoned, steps)?);
+    let mut violations = Vec::new();
+    for (marker, sent, ends) in [
+        (MARKER, &sent.crashing, ENDS_OF_A_REQUEST),
+        (ABANDONED_MARKER, &sent.abandoned, ENDS_OF_A_REQUEST),
+        (CRASHING_CHAT, &sent.sharing_part, ENDS_OF_A_PART),
+    ] {
+        violations.extend(verify_one(fleet, (marker, ends), sent, steps)?);
+    }
     Ok(violations)
 }
 
 fn verify_one(
     fleet: &Fleet,
-    marker: &str,
+    (marker, ends): (&str, usize),
     sent: &[Sent],
     steps: &[FaultStep],
 ) -> io::Result<Vec<String>> {
-    let mut runs = crashing::runs(fleet, marker)?;
+    let mut runs = crashing::runs_with_prefix(fleet, marker)?;
     let answers: Vec<CrashingAnswer> = sent.iter().map(|sent| sent.answer.clone()).collect();
     let false_refusals = crashing::false_refusals(&answers, &runs);
     let mut violations: Vec<String> = false_refusals
         .iter()
         .map(|answer| format!("reported as not run, but an engine began to run it: {answer:?}"))
         .collect();
-    let third_ms = runs.get(2).map(|run| run.time_ms);
+    let last_ms = runs.get(ends - 1).map(|run| run.time_ms);
     runs.retain(|run| {
-        let is_early = third_ms.is_some_and(|third_ms| run.time_ms <= third_ms);
+        let is_early = last_ms.is_some_and(|last_ms| run.time_ms <= last_ms);
         is_early || !is_excused(&run.attempt, sent, steps)
     });
-    let late = crashing::late_runs(&runs);
+    let late = crashing::runs_after(&runs, ends);
     if late > MAX_LATE_RUNS {
         let times: Vec<u64> = runs.iter().map(|run| run.time_ms).collect();
         violations.push(format!(
--- a/crates/soak/src/processes/mod.rs
+++ b/crates/soak/src/processes/mod.rs
@@ -14,5 +14,5 @@
 pub use calm::{CalmOutcome, CalmPlan, EndCounts, run_calm};
 pub use plan::{Fault, FaultPlan, FaultStep, TargetRange};
 pub use proxy::{Mode, Proxies};
-pub use run::{Outcome, ProcessCounts, run};
+pub use run::{Additions, Outcome, ProcessCounts, run};
 pub use verify::lost_attempts;
--- a/crates/soak/src/processes/plan.rs
+++ b/crates/soak/src/processes/plan.rs
@@ -24,6 +24,8 @@
 const SILENCE_STREAM: u64 = 1;
 /// Number of silence faults in a run.
 const SILENCE_FAULT_COUNT: std::ops::RangeInclusive<usize> = 1..=3;
+/// Stream of the generator that requests with a crashing prompt part are drawn from.
+const CRASHING_PART_STREAM: u64 = 2;
 /// Number of silences in one such fault.
 const SILENCE_COUNT: std::ops::RangeInclusive<usize> = 2..=4;
 /// Duration of a silence: the users' sound servers may be silent "for a second or so".
@@ -144,6 +146,8 @@
     pub crashing: Vec<CrashingSend>,
     /// Repeats of another one, whose callers leave when its answer has begun. Invariant: sorted by time.
     pub abandoned: Vec<CrashingSend>,
+    /// Requests that share a prompt part that ends engines, no two alike. Invariant: sorted by time.
+    pub sharing_part: Vec<CrashingSend>,
 }
 
 impl FaultPlan {
@@ -166,9 +170,20 @@
             steps,
             crashing,
             abandoned,
+            sharing_part: Vec::new(),
         }
     }
 
+    /// Adds requests that share a prompt part that ends engines, which leave the faults of the seed as
+    /// they are.
+    #[must_use]
+    pub fn with_crashing_part(mut self, seed: u64, counts: &ProcessCounts) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(CRASHING_PART_STREAM);
+        self.sharing_part = crashing_sends(&mut rng, counts);
+        self
+    }
+
     /// Adds silences of engines, which leave the other faults of the seed as they are.
     #[must_use]
     pub fn with_silences(mut self, seed: u64, counts: &ProcessCounts) -> Self {
@@ -234,6 +249,7 @@
             steps,
             crashing: Vec::new(),
             abandoned: Vec::new(),
+            sharing_part: Vec::new(),
         }
     }
 }
--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -43,6 +43,15 @@
     pub services: usize,
 }
 
+/// What is added to the faults of a seed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Additions {
+    /// Silences of engines.
+    pub has_silences: bool,
+    /// Requests that share a prompt part that ends engines.
+    pub has_crashing_part: bool,
+}
+
 /// Result of a run.
 #[derive(Debug, Clone)]
 pub struct Outcome {
@@ -55,7 +64,7 @@
 }
 
 /// Runs a seed with the programs in the executable `program`; logs and records go to `directory`.
-/// With `has_silences`, the seed's silences of engines are added to its other faults.
+/// The seed's `additions` are added to its faults.
 ///
 /// # Errors
 /// If processes cannot be started or stopped, or records cannot be read.
@@ -65,7 +74,7 @@
     counts: ProcessCounts,
     config: &Config,
     seed: u64,
-    has_silences: bool,
+    additions: Additions,
 ) -> io::Result<Outcome> {
     let fleet_size = FleetSize {
         daemons: counts.daemons,
@@ -80,9 +89,12 @@
     let starting = Fleet::start_proxied(program, directory, &fleet_size, config, &mut route);
     let mut fleet = starting.await?;
     let mut plan = FaultPlan::new(seed, &counts, proxies.len());
-    if has_silences {
+    if additions.has_silences {
         plan = plan.with_silences(seed, &counts);
     }
+    if additions.has_crashing_part {
+        plan = plan.with_crashing_part(seed, &counts);
+    }
     let balancer = Balancer::new(fleet.caller_addresses());
     let run_start_unix_ms = unix_now_ms();
     let load = LoadGenerator::start(&load_plan(config, &fleet_size, seed), &balancer);
--- a/crates/soak/tests/processes.rs
+++ b/crates/soak/tests/processes.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use soak::deployment::Deployment;
-use soak::processes::{Fault, FaultPlan, FaultStep, ProcessCounts, run};
+use soak::processes::{Additions, Fault, FaultPlan, FaultStep, ProcessCounts, run};
 use test_case::test_case;
 
 const COUNTS: ProcessCounts = ProcessCounts {
@@ -13,16 +13,22 @@
     services: 2,
 };
 
-#[test_case(1)]
-#[test_case(2)]
-fn guarantees_hold_under_faults(seed: u64) {
+const PART: Additions = Additions {
+    has_silences: false,
+    has_crashing_part: true,
+};
+
+#[test_case(1, Additions::default())]
+#[test_case(2, Additions::default())]
+#[test_case(3, PART; "3 with a crashing prompt part")]
+fn guarantees_hold_under_faults(seed: u64, additions: Additions) {
     let name = format!("lapismoor-soak-test-{}-{seed}", std::process::id());
     let directory: PathBuf = std::env::temp_dir().join(name);
     let program = PathBuf::from(env!("CARGO_BIN_EXE_soak"));
     let config = Deployment::by_name("midshire")
         .expect("the deployment is known and valid")
         .config;
-    let run_future = run(&program, &directory, COUNTS, &config, seed, false);
+    let run_future = run(&program, &directory, COUNTS, &config, seed, additions);
     let outcome = actix_web::rt::System::new().block_on(run_future);
     let outcome = outcome.expect("the run completes");
     assert_eq!(
@@ -61,3 +67,14 @@
     let is_a_second_or_so = |step: &FaultStep| (800..=1_600).contains(&step.duration.as_millis());
     assert!(silences.iter().all(is_a_second_or_so));
 }
+
+/// Requests with a crashing prompt part that are added must not change the faults or the other requests of a seed.
+#[test]
+fn added_crashing_part_leaves_the_rest_of_a_seed_as_it_is() {
+    let without = FaultPlan::new(7, &COUNTS, 11);
+    let mut actual = without.clone().with_crashing_part(7, &COUNTS);
+    assert!(actual.sharing_part.is_sorted_by_key(|send| send.at));
+    assert!(actual.sharing_part.len() > 5);
+    actual.sharing_part.clear();
+    assert_eq!(actual, without);
+}
