Recognize a crashing part by crashes in quick succession, and try it without the store

Without the store the daemon that is first by rendezvous hashing now tries a part for all. In the simulation the targets of a failure domain now crash over up to 80 ms, instead of all at once.

--- a/crates/core/src/admission/suspects/mod.rs
+++ b/crates/core/src/admission/suspects/mod.rs
@@ -50,7 +50,7 @@
 pub const CONFIRMATION_WINDOW: Duration = Duration::from_secs(7);
 /// Least time between two crashes that follow each other. The targets of a failure domain end within
 /// less, also those that get a request of one that ended just before.
-const MIN_LINK_TIME: Duration = Duration::from_millis(100);
+const MIN_LINK_TIME: Duration = Duration::from_millis(25);
 /// Time for which a withdrawal waits for other evidence to be shared with, unless daemons may refuse
 /// the request. A request that is not refused does not need it soon, and each record costs a write.
 const WITHDRAWAL_DELAY: Duration = Duration::from_secs(30);
--- a/crates/core/tests/suspect_parts_fleet.rs
+++ b/crates/core/tests/suspect_parts_fleet.rs
@@ -95,6 +95,8 @@
     /// Start of the current incarnation of each target, and the time from which it runs.
     targets: Vec<(u64, Moment)>,
     running: Vec<Running>,
+    /// Targets of a failure domain that is about to crash.
+    ending: Vec<(Moment, TargetIncarnation)>,
     deliveries: Vec<Delivery>,
     records: Vec<Evidence>,
     trials: Vec<TrialRecord>,
@@ -123,6 +125,7 @@
             next_witness: 100,
             targets: vec![(1, Moment::ZERO); targets],
             running: Vec::new(),
+            ending: Vec::new(),
             deliveries: Vec::new(),
             records: Vec::new(),
             trials: Vec::new(),
@@ -196,7 +199,8 @@
                 fingerprint,
                 number,
             };
-            if self.trouble == Trouble::StoreAway {
+            // Without the store, one daemon tries a part for all.
+            if self.trouble == Trouble::StoreAway && daemon > 0 {
                 return false;
             }
             self.daemons[daemon].record_trial(now, trial);
@@ -204,7 +208,9 @@
                 return false;
             }
             self.trials.push(trial);
-            self.send(now, &News::Trial(trial), 20..500);
+            if self.trouble != Trouble::StoreAway {
+                self.send(now, &News::Trial(trial), 20..500);
+            }
         }
         true
     }
@@ -346,12 +352,23 @@
         }
     }
 
-    /// A third of the targets crash, those that are up.
+    /// A third of the targets crash within some milliseconds, those that are up.
     fn crash_domain(&mut self, now: Moment) {
         let domain = self.rng.random_range(0..3);
+        let spread_ms = self.rng.random_range(1..80);
         for number in (0..self.targets.len()).filter(|number| number % 3 == domain) {
             if self.targets[number].1 <= now {
-                let target = self.incarnation(number);
+                let delay = Duration::from_millis(self.rng.random_range(0..spread_ms));
+                self.ending.push((now + delay, self.incarnation(number)));
+            }
+        }
+    }
+
+    fn end_targets(&mut self, now: Moment) {
+        let ended: Vec<(Moment, TargetIncarnation)> =
+            self.ending.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, target) in ended {
+            if !self.has_ended(&target) {
                 self.crash(now, &target);
             }
         }
@@ -445,6 +462,7 @@
         while now < END {
             self.deliver(now);
             self.finish(now);
+            self.end_targets(now);
             while now >= next_sound {
                 self.request(now, None);
                 next_sound += Duration::from_millis(sound_pause_ms);
--- a/crates/edge/src/serve/suspicion.rs
+++ b/crates/edge/src/serve/suspicion.rs
@@ -127,9 +127,15 @@
         let claim = trials::claim(&self.edge, trial);
         let limit = self.time_left().min(CLAIM_TIMEOUT);
         let claimed = tokio::time::timeout(limit, claim).await;
-        let result = claimed.unwrap_or(ClaimResult::Unanswered);
+        let mut result = claimed.unwrap_or(ClaimResult::Unanswered);
+        if result == ClaimResult::Unanswered
+            && subject.part.is_some()
+            && trials::take_without_store(&self.edge, trial)
+        {
+            result = ClaimResult::WithoutStore;
+        }
         report::trial_claimed(self, subject, number, result);
-        if result == ClaimResult::Claimed {
+        if matches!(result, ClaimResult::Claimed | ClaimResult::WithoutStore) {
             self.trial_after_runs = Some(self.progress.get().runs);
             return Ok(());
         }
--- a/crates/edge/src/store/suspects.rs
+++ b/crates/edge/src/store/suspects.rs
@@ -166,7 +166,9 @@
 /// Takes over a record that its author reported directly, if the store does not list it in time and
 /// this is one of its successors.
 pub(crate) async fn hand_over(edge: Rc<Edge>, item: StoreItem) {
-    if !is_successor(&edge, &item) || edge.unstored_evidence.get() >= MAX_UNSTORED {
+    if !is_ranked_within(&edge, &item.key, SUCCESSORS)
+        || edge.unstored_evidence.get() >= MAX_UNSTORED
+    {
         return;
     }
     let _guard = UnstoredGuard::new(&edge);
@@ -179,14 +181,14 @@
     }
 }
 
-/// Whether this daemon is one of the few that take over a record. All daemons with the same list of
-/// daemons agree on them.
-fn is_successor(edge: &Edge, item: &StoreItem) -> bool {
-    let rank = |daemon: &str| hash_parts(&[item.key.as_bytes(), daemon.as_bytes()]);
+/// Whether this daemon is one of the first `count` that are responsible for a record. All daemons with the same
+/// list of daemons agree on them.
+pub(super) fn is_ranked_within(edge: &Edge, key: &str, count: usize) -> bool {
+    let rank = |daemon: &str| hash_parts(&[key.as_bytes(), daemon.as_bytes()]);
     let own = rank(&edge.settings.daemon);
     let state = edge.state.borrow();
     let before = state.daemons.iter().filter(|peer| rank(&peer.id) < own);
-    before.count() < SUCCESSORS
+    before.count() < count
 }
 
 fn is_listed(edge: &Edge, item: &StoreItem) -> bool {
--- a/crates/edge/src/store/trials.rs
+++ b/crates/edge/src/store/trials.rs
@@ -1,10 +1,10 @@
 //! Claims trials of requests that were interrupted at several targets.
 
-use lapismoor_core::admission::TrialRecord;
 use lapismoor_core::admission::suspects::{MAX_BAN, TrialClaim, TrialClaimStep};
+use lapismoor_core::admission::{TrialRecord, Verdict};
 
 use super::records;
-use super::suspects::LEASE_ROTATION;
+use super::suspects::{LEASE_ROTATION, is_ranked_within};
 use crate::context::Edge;
 
 /// Result of the claim of a trial.
@@ -16,6 +16,27 @@
     Taken,
     /// The store did not answer.
     Unanswered,
+    /// The store did not answer, and this daemon tries the prompt part for all.
+    WithoutStore,
+}
+
+/// Takes the trial of a prompt part that the store did not answer for, if this daemon is the one that does so
+/// without it. A part that is suspected by mistake would otherwise be refused until the store is back.
+pub(crate) fn take_without_store(edge: &Edge, trial: TrialRecord) -> bool {
+    let now = edge.now();
+    let expected = Verdict::Trial {
+        number: trial.number,
+    };
+    if !is_ranked_within(edge, &trial.record_key(), 1) {
+        return false;
+    }
+    let suspects = &mut edge.state.borrow_mut().suspects;
+    // Another request may have taken it while this one waited for the store.
+    let is_free = suspects.verdict(now, trial.fingerprint) == expected;
+    if is_free {
+        suspects.record_trial(now, trial);
+    }
+    is_free
 }
 
 /// Claims a trial, and records it if any daemon has claimed it.
