--- a/crates/core/tests/suspect_parts.rs
+++ b/crates/core/tests/suspect_parts.rs
@@ -128,6 +128,24 @@
     assert_eq!(suspects.verdict(ms(1_600), COMMON), Verdict::Run);
 }
 
+/// Guards against attempts of one request that crash a target every 50 ms and are taken for one failure domain.
+#[test]
+fn crashes_of_one_request_in_quick_succession_follow_each_other() {
+    let mut suspects = Suspects::new(1);
+    for number in 1..=3 {
+        let sent_ms = 1_000 + 50 * number;
+        interrupt(
+            &mut suspects,
+            CRASHING,
+            number,
+            sent_ms,
+            sent_ms + 45,
+            Belief::Presumed,
+        );
+    }
+    assert_ne!(suspects.verdict(ms(1_300), CRASHING), Verdict::Run);
+}
+
 /// Guards against crashes in such quick succession that requests are sent before those of others are known.
 #[test]
 fn part_is_suspected_after_many_crashes_in_quick_succession() {
@@ -181,6 +199,28 @@
     assert_ne!(suspects.verdict(ms(10_100), CRASHING), Verdict::Run);
 }
 
+/// Guards against excusing a part that was answered before it began to crash targets, as after a new release. Each
+/// session, with a part of its own, is at `attempts` of the crashes.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn part_that_was_answered_before_is_blamed_too(attempts: u64) {
+    let mut suspects = Suspects::new(1);
+    answer(&mut suspects, CRASHING, 100, 500);
+    let mut crashes = 0;
+    for number in 1..=30 {
+        let at_ms = 1_000 * number;
+        if suspects.verdict(ms(at_ms - 200), CRASHING) != Verdict::Run {
+            break;
+        }
+        crashes += 1;
+        let session = 1_000 + number / attempts;
+        crash(&mut suspects, &[CRASHING, session], number, at_ms);
+    }
+    // Five and three more, by the users' requirement.
+    assert!(crashes <= 8, "{crashes}");
+}
+
 /// Guards against a part that is cleared and later has no trials left.
 #[test]
 fn part_that_is_answered_in_a_trial_gets_all_trials_again() {
