--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -8,6 +8,7 @@
 pub mod startup;
 pub mod stop_plan;
 pub mod suspects;
+pub mod target_limits;
 pub mod workspaces;
 
 pub use flight_limit::gate_limits;
@@ -20,4 +21,5 @@
     AnsweredAttempt, Belief, Evidence, InterruptedAttempt, SuspectKind, Suspects, TrialRecord,
     Verdict,
 };
+pub use target_limits::{LimitChange, LimitNotice, LimitView, RequestRate};
 pub use workspaces::Workspaces;
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::admission::LimitView;
 use crate::clock::Moment;
 use crate::ids::{TargetId, TargetKey};
 use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
@@ -46,6 +47,8 @@
     pub breaker: Breaker,
     /// Pause that the target asked for.
     pub pause: Pause,
+    /// Limit that the target names.
+    pub limit: LimitView,
     /// Load as this daemon estimates it.
     pub load: LoadView,
     /// When this daemon last received data from the target.
@@ -313,6 +316,7 @@
             standing: Standing::InUse,
             breaker: Breaker::default(),
             pause: Pause::default(),
+            limit: LimitView::default(),
             load: LoadView::default(),
             last_received_at: now,
             known_since: now,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
-use lapismoor_core::admission::{Evidence, StopPlan, Suspects, Workspaces};
+use lapismoor_core::admission::{
+    Evidence, LimitChange, LimitNotice, RequestRate, StopPlan, Suspects, Workspaces,
+};
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey};
 use lapismoor_core::membership::{
@@ -24,7 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::admission::AdmissionControl;
-use crate::dialect::{Dialect, PauseRequest};
+use crate::dialect::{Dialect, NamedLimit, PauseRequest};
 use crate::http::{Connection, ConnectionPool};
 use crate::in_flight::RequestsInFlight;
 use crate::metrics::Metrics;
@@ -444,6 +446,39 @@
         }
     }
 
+    /// Records the limit that a target named, or did not name, in the answer to a request sent at
+    /// `sent_at`. A value that cannot be read says only that there is a limit, so that the known one
+    /// stays.
+    pub fn target_named_limit(
+        &self,
+        target: TargetKey,
+        sent_at: Moment,
+        limit: Option<&NamedLimit>,
+    ) {
+        let received_at = self.now();
+        let mut state = self.state.borrow_mut();
+        let Some(known) = state.directory.get_mut(target) else {
+            return;
+        };
+        let id = &known.entry.id;
+        let rate = match limit {
+            None => None,
+            Some(NamedLimit::Rate(rate)) => Some(*rate),
+            Some(NamedLimit::Unreadable(value)) => {
+                log::warn!(target:% = id, value:%; "target_limit_unreadable");
+                return;
+            }
+        };
+        let notice = LimitNotice {
+            rate,
+            sent_at,
+            received_at,
+        };
+        if let Some(change) = known.limit.record(notice) {
+            log_limit_change(id, &change);
+        }
+    }
+
     /// Address of an incarnation of a target, if it is listed.
     #[must_use]
     pub fn address_if_listed(&self, target: &TargetIncarnation) -> Option<SocketAddr> {
@@ -659,3 +694,12 @@
         change(&mut retry_budgets[position].1)
     }
 }
+
+fn log_limit_change(target: &TargetId, change: &LimitChange) {
+    log::info!(
+        target:%,
+        limit_per_s = change.now.map(RequestRate::per_s),
+        before_per_s = change.before.map(RequestRate::per_s);
+        "target_limit_changed"
+    );
+}
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use actix_http::header::{HeaderMap, HeaderName};
 use compact_str::CompactString;
+use lapismoor_core::admission::RequestRate;
 use lapismoor_core::routing::{PromptPart, ReportedLoad};
 use snafu::Snafu;
 
@@ -82,6 +83,17 @@
     pub is_leaving: bool,
     /// Pause that the target asks for, if it rejects the request.
     pub pause: Option<PauseRequest>,
+    /// Requests that the target takes from all daemons together, if it names a limit.
+    pub limit: Option<NamedLimit>,
+}
+
+/// Limit that a target names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// It takes this many requests.
+    Rate(RequestRate),
+    /// The value is not a rate.
+    Unreadable(CompactString),
 }
 
 /// Pause that a target asks for.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,7 +26,8 @@
 pub use clock::boot_clock;
 pub use context::Edge;
 pub use dialect::{
-    AnswerMetadata, AttemptHeaders, Dialect, Envelope, EnvelopeError, ModelCall, PauseRequest,
+    AnswerMetadata, AttemptHeaders, Dialect, Envelope, EnvelopeError, ModelCall, NamedLimit,
+    PauseRequest,
 };
 pub use listeners::Listeners;
 pub use logging::{LogQueue, LoggingError, flush_at_exit, start as start_logging};
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -218,6 +218,10 @@
         {
             edge.target_wants_pause(target, pause);
         }
+        let is_of_target = metadata.is_signed || metadata.is_not_run;
+        if is_of_target && head.status != StatusCode::MISDIRECTED_REQUEST {
+            edge.target_named_limit(target, sent_at, metadata.limit.as_ref());
+        }
         let answer = Answer {
             target,
             target_id: self.target_id,
