--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -7,6 +7,7 @@
 
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use lapismoor_core::Moment;
+use lapismoor_core::admission::Priority;
 use lapismoor_core::admission::queue::{Queue, QueuedItem};
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
 use lapismoor_core::routing::{AffinityPreference, Chooser, LoadBound, PromptPart, TargetQuery};
@@ -50,6 +51,8 @@
                     tried: &[],
                     may_repeat_target: false,
                     preference: AffinityPreference::default(),
+                    priority: &Priority::default(),
+                    permits_denied: 0,
                 };
                 black_box(chooser.choose(Moment::ZERO, &directory, &query))
             });
--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -56,6 +56,7 @@
     }
 
     /// What decides the position of a request in the queue.
+    #[derive(Default)]
     pub struct Priority {
         /// Urgency; 0 is the most urgent.
         pub rank: u8,
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -21,5 +21,8 @@
     AnsweredAttempt, Belief, Evidence, InterruptedAttempt, SuspectKind, Suspects, TrialRecord,
     Verdict,
 };
-pub use target_limits::{LimitChange, LimitNotice, LimitView, RequestRate};
+pub use target_limits::{
+    Allocators, LimitChange, LimitNotice, LimitView, PermitDecision, Rates, RequestRate,
+    ReturnSchedule,
+};
 pub use workspaces::Workspaces;
--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -27,6 +27,11 @@
             /// Time until the first pause ends.
             retry_after: Duration,
         },
+        /// All targets have reached the limits that they name.
+        TargetsLimited {
+            /// Time until there may be room for the caller.
+            retry_after: Duration,
+        },
         /// All targets rejected the request, or the service's retry budget is used up.
         Busy,
         /// The request would wait for too long to be answered on time.
@@ -66,6 +71,7 @@
             Self::NoTarget => "no_target",
             Self::Unreachable => "unreachable",
             Self::TargetsPaused { .. } => "targets_paused",
+            Self::TargetsLimited { .. } => "targets_limited",
             Self::Busy => "busy",
             Self::Full { .. } => "full",
             Self::QueueFull { .. } => "queue_full",
@@ -92,6 +98,7 @@
         match self {
             Self::NoRoute | Self::UnknownKey => None,
             Self::TargetsPaused { retry_after }
+            | Self::TargetsLimited { retry_after }
             | Self::Full { retry_after }
             | Self::QueueFull { retry_after }
             | Self::WorkspaceLimit { retry_after } => Some(*retry_after),
--- /dev/null
+++ b/crates/core/src/admission/target_limits/allocator.rs
@@ -0,0 +1,235 @@
+//! Hands out this daemon's half of the permits for targets with a limit.
+
+use std::time::Duration;
+
+use super::notice::RequestRate;
+use super::share::{ClassDemand, divide};
+use crate::admission::Priority;
+use crate::clock::Moment;
+use crate::ids::hash_parts;
+use crate::membership::DaemonRecord;
+use crate::routing::fleet_sample::TargetHash;
+use crate::routing::rendezvous::rendezvous_order;
+
+/// Window in which the users count the requests that a target gets.
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Daemons that hand out the permits for one target.
+const ALLOCATORS_PER_TARGET: usize = 2;
+/// Part of a limit that is handed out. With it and [`Rates::burst`], three daemons that take
+/// themselves for one of the two together keep one and a half times the limit.
+const USED_FRACTION: f64 = 0.9;
+/// Groups of targets with the same allocators, which bounds the connections between daemons.
+const TARGET_GROUPS: u32 = 16;
+/// Rendezvous hash key for the selection of allocators.
+const ALLOCATOR_KEY: u64 = 0x5065_726d;
+/// Requests that a target gets from time to time whatever it names: only an answer tells whether
+/// the limit has ended.
+const MIN_PER_S: f64 = 0.2;
+/// Time constant of the exponential decay of the demand.
+const DEMAND_DECAY: Duration = Duration::from_secs(2);
+/// Demand, as a part of the rate, from which on classes are held to their shares.
+const CONTENDED_FRACTION: f64 = 0.9;
+/// Time for which a class may save up its share.
+const SAVING_TIME: Duration = Duration::from_secs(1);
+/// Longest wait that is promised.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+/// Demand below which a class is forgotten, in requests per second.
+const MIN_DEMAND_PER_S: f64 = 0.01;
+/// Time without a request after which a target's allocator is forgotten.
+const IDLE_TIME: Duration = Duration::from_mins(1);
+
+value! {
+    /// Answer to a request for a permit.
+    #[derive(Copy)]
+    pub enum PermitDecision {
+        /// One request may be sent now.
+        Granted,
+        /// There is none.
+        Denied {
+            /// Time until there may be one for such a request.
+            wait: Duration,
+        },
+    }
+}
+
+/// The rates by which a permit is decided, in requests per second.
+#[derive(Debug, Clone, Copy)]
+pub struct Rates {
+    /// What this daemon may hand out.
+    part_per_s: f64,
+}
+
+impl Rates {
+    /// This daemon's part of the limit `rate` of a target.
+    #[must_use]
+    pub fn part_of(rate: RequestRate, daemons: &[DaemonRecord]) -> Self {
+        let parts = if daemons.len() == 1 { 1.0 } else { 2.0 };
+        Self {
+            part_per_s: (USED_FRACTION * rate.per_s()).max(MIN_PER_S) / parts,
+        }
+    }
+
+    /// Permits that may be saved up.
+    fn burst(self) -> f64 {
+        1.5 + 0.4 * self.part_per_s
+    }
+}
+
+/// Whether `own` hands out permits for a target, by its list of daemons. A daemon that knows of no
+/// other one does.
+#[must_use]
+pub fn is_allocator(target: TargetHash, daemons: &[DaemonRecord], own: &str) -> bool {
+    daemons.is_empty() || ranked(target, daemons).any(|daemon| daemon.id == own)
+}
+
+/// Daemons to ask for a permit, in this order: `own` if it is one of them. The others are asked
+/// first by half of the daemons each.
+#[must_use]
+pub fn permit_sources<'a>(
+    target: TargetHash,
+    daemons: &'a [DaemonRecord],
+    own: &str,
+) -> Vec<&'a DaemonRecord> {
+    let mut sources: Vec<&DaemonRecord> = ranked(target, daemons).collect();
+    let hash = hash_parts(&[own.as_bytes(), &target.to_le_bytes()]);
+    if hash % 2 == 1 {
+        sources.reverse();
+    }
+    sources.sort_by_key(|daemon| daemon.id != own);
+    sources
+}
+
+fn ranked(target: TargetHash, daemons: &[DaemonRecord]) -> impl Iterator<Item = &DaemonRecord> {
+    let group = u64::from(target % TARGET_GROUPS);
+    let names = daemons.iter().map(|daemon| daemon.id.as_str());
+    let order = rendezvous_order(ALLOCATOR_KEY + group, names);
+    order
+        .into_iter()
+        .take(ALLOCATORS_PER_TARGET)
+        .map(|position| &daemons[position])
+}
+
+/// The allocators of all targets for which this daemon hands out permits.
+#[derive(Debug, Clone, Default)]
+pub struct Allocators {
+    /// Invariant: sorted by target.
+    targets: Vec<(TargetHash, Allocator)>,
+}
+
+impl Allocators {
+    /// Decides on a permit for one request to a target with a limit.
+    pub fn take(
+        &mut self,
+        now: Moment,
+        target: TargetHash,
+        rates: Rates,
+        priority: &Priority,
+    ) -> PermitDecision {
+        let found = self
+            .targets
+            .binary_search_by_key(&target, |(known, _)| *known);
+        let position = found.unwrap_or_else(|position| {
+            self.targets.insert(position, (target, Allocator::new(now)));
+            position
+        });
+        self.targets[position].1.take(now, rates, priority)
+    }
+
+    /// Forgets targets for which this daemon no longer hands out permits, so that it begins without
+    /// any when it does again: others may have handed them out meanwhile.
+    pub fn retain(&mut self, now: Moment, is_allocator: impl Fn(TargetHash) -> bool) {
+        self.targets.retain(|(target, allocator)| {
+            let is_idle = now.saturating_sub(allocator.updated_at) > IDLE_TIME;
+            !is_idle && is_allocator(*target)
+        });
+    }
+}
+
+/// Permits of one rank and workspace.
+#[derive(Debug, Clone)]
+struct ClassCredit {
+    /// Share of the class that was not used, in permits.
+    saved: f64,
+}
+
+/// Token bucket of one target.
+#[derive(Debug, Clone)]
+struct Allocator {
+    /// Permits that may be handed out. Begins at zero: a predecessor may just have used its own.
+    tokens: f64,
+    updated_at: Moment,
+    /// Invariant: sorted by rank and workspace; as long as `credits`.
+    demands: Vec<ClassDemand>,
+    credits: Vec<ClassCredit>,
+}
+
+impl Allocator {
+    fn new(now: Moment) -> Self {
+        Self {
+            tokens: 0.0,
+            updated_at: now,
+            demands: Vec::new(),
+            credits: Vec::new(),
+        }
+    }
+
+    fn take(&mut self, now: Moment, rates: Rates, priority: &Priority) -> PermitDecision {
+        self.update(now, rates);
+        let class = self.class(priority);
+        self.demands[class].per_s += 1.0 / DEMAND_DECAY.as_secs_f64();
+        let shares = divide(rates.part_per_s, &self.demands);
+        let demand_per_s: f64 = self.demands.iter().map(|class| class.per_s).sum();
+        let is_contended = demand_per_s > CONTENDED_FRACTION * rates.part_per_s;
+        let is_unused = self.tokens >= rates.burst();
+        let has_share = !is_contended || is_unused || self.credits[class].saved >= 1.0;
+        if self.tokens >= 1.0 && has_share {
+            self.tokens -= 1.0;
+            let credit = &mut self.credits[class];
+            credit.saved = (credit.saved - 1.0).max(0.0);
+            return PermitDecision::Granted;
+        }
+        let until_token_s = (1.0 - self.tokens).max(0.0) / rates.part_per_s;
+        let until_share_s = if has_share {
+            0.0
+        } else {
+            (1.0 - self.credits[class].saved) / shares[class].max(f64::MIN_POSITIVE)
+        };
+        let wait_s = until_token_s.max(until_share_s);
+        PermitDecision::Denied {
+            wait: Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64())),
+        }
+    }
+
+    /// Adds what has accrued since the last call.
+    fn update(&mut self, now: Moment, rates: Rates) {
+        let elapsed = now.saturating_sub(self.updated_at);
+        self.updated_at = self.updated_at.max(now);
+        let elapsed_s = elapsed.as_secs_f64();
+        self.tokens = (self.tokens + elapsed_s * rates.part_per_s).min(rates.burst());
+        let shares = divide(rates.part_per_s, &self.demands);
+        for (credit, share_per_s) in self.credits.iter_mut().zip(shares) {
+            let most = 1.0 + share_per_s * SAVING_TIME.as_secs_f64();
+            credit.saved = (credit.saved + share_per_s * elapsed_s).min(most);
+        }
+        let decay = (-elapsed_s / DEMAND_DECAY.as_secs_f64()).exp();
+        for demand in &mut self.demands {
+            demand.per_s *= decay;
+        }
+        let mut kept = self.demands.iter().map(|one| one.per_s >= MIN_DEMAND_PER_S);
+        self.credits.retain(|_| kept.next().unwrap_or_default());
+        self.demands.retain(|one| one.per_s >= MIN_DEMAND_PER_S);
+    }
+
+    /// Position of the class of a request.
+    fn class(&mut self, priority: &Priority) -> usize {
+        let found = self.demands.binary_search_by(|class| {
+            let key = (class.rank, &class.workspace);
+            key.cmp(&(priority.rank, &priority.workspace))
+        });
+        found.unwrap_or_else(|position| {
+            self.demands.insert(position, ClassDemand::new(priority));
+            self.credits.insert(position, ClassCredit { saved: 1.0 });
+            position
+        })
+    }
+}
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -121,6 +121,22 @@
         }
     }
 
+    /// Calls `change` with the limit of each known target.
+    pub fn for_each_limit(
+        &mut self,
+        mut change: impl FnMut(TargetHash, &mut LimitView, &TargetId),
+    ) {
+        for target in &mut self.targets {
+            change(target.hash, &mut target.limit, &target.entry.id);
+        }
+    }
+
+    /// Known target that messages between daemons call `hash`.
+    #[must_use]
+    pub fn find_by_hash(&self, hash: TargetHash) -> Option<&KnownTarget> {
+        self.targets.iter().find(|target| target.hash == hash)
+    }
+
     /// Known target with this id, in its latest incarnation.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<&KnownTarget> {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -13,5 +13,5 @@
 pub use entry::{TargetEntry, TargetIncarnation, TargetState};
 pub use freshness::Freshness;
 pub use mirror::{Mirror, StoreItem};
-pub use sources::{DaemonRecord, Source, Sources, max_source_age};
+pub use sources::{DaemonRecord, Source, Sources, is_small_fleet, max_source_age};
 pub use traffic_share::TrafficShare;
--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -52,6 +52,12 @@
     }
 }
 
+/// Whether all daemons of a fleet read the store, so that they are not told of others' observations.
+#[must_use]
+pub fn is_small_fleet(daemons: &[DaemonRecord]) -> bool {
+    daemons.len() <= SMALL_FLEET
+}
+
 /// Maximum age at which data from a source is accepted. Data ages while it is transferred: a full
 /// list saturates the smallest links for seconds, so `list_timeout` is added for it. Changes made
 /// meanwhile are requested right after the list.
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::admission::Priority;
 use crate::clock::Moment;
 use crate::ids::{FailureDomain, ServiceId, TargetKey};
 use crate::membership::{Directory, KnownTarget};
@@ -24,6 +25,11 @@
 /// Added to the load of targets in other failure domains when loads are compared, so that one of
 /// them is preferred only if it has this many requests fewer in flight.
 const DOMAIN_COST_REQUESTS: f64 = 1.0;
+/// Permits that a request asks for before it goes to a target without a limit, or to none. Each one
+/// takes a call to another daemon.
+const MAX_PERMITS_DENIED: usize = 6;
+/// Time until a request that has asked for all its permits may find room elsewhere.
+const PERMIT_PAUSE: Duration = Duration::from_millis(50);
 
 value! {
     /// A contiguous part of a prompt, the unit of cache reuse.
@@ -60,6 +66,13 @@
         NoneInUse,
         /// All targets in use were already tried or are unreachable.
         NoneReachable,
+        /// All targets that could get the request have reached their limits.
+        Limited {
+            /// Time until the first of them may have room.
+            left: Duration,
+            /// That target.
+            target: TargetKey,
+        },
         /// All targets in use have asked for a pause.
         Paused {
             /// Time until the first pause ends.
@@ -85,6 +98,10 @@
     pub may_repeat_target: bool,
     /// Trade-off between cache reuse and even load.
     pub preference: AffinityPreference,
+    /// Urgency and workspace, by which targets with a limit have room or not.
+    pub priority: &'a Priority,
+    /// Permits that were asked for in vain. The request is counted once, and asks for a few.
+    pub permits_denied: usize,
 }
 
 /// Trade-off between cache reuse and even load.
@@ -135,6 +152,8 @@
     pub load: f64,
     /// Load bound of the service's targets, in requests in flight.
     pub bound: f64,
+    /// Target that would have been chosen if it had room within its limit.
+    pub limited: Option<TargetKey>,
 }
 
 /// Chooses targets, and tracks the popularity of prompt parts by service.
@@ -150,6 +169,19 @@
     load: f64,
     is_usable: bool,
     is_healthy: bool,
+    /// Time until the target may have room within its limit; zero if it may now.
+    room_in: Duration,
+}
+
+impl Candidate<'_> {
+    /// Whether only its limit keeps the target from getting the request.
+    fn is_limited(&self) -> bool {
+        self.is_usable && !self.room_in.is_zero()
+    }
+
+    fn may_get_request(&self) -> bool {
+        self.is_usable && self.room_in.is_zero()
+    }
 }
 
 impl Chooser {
@@ -211,10 +243,11 @@
         let homes = self.home_count(now, query, part, candidates.len());
         let reuse_value = self.reuse_value(query);
         let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value);
-        let fits = |position: &&usize| {
+        let suits = |position: &&usize| {
             let candidate = &candidates[**position];
             candidate.is_usable && candidate.is_healthy && candidate.load < bound
         };
+        let fits = |position: &&usize| suits(position) && candidates[**position].may_get_request();
         let cost = |position: &usize| self.cost(&candidates[*position]);
         let home_positions = order[..homes].iter().filter(fits);
         let chosen = home_positions
@@ -222,6 +255,8 @@
             .or_else(|| order.iter().find(fits))
             .copied()
             .or_else(|| least_loaded(candidates))?;
+        let first_choice = order.iter().find(suits).map(|first| &candidates[*first]);
+        let limited = first_choice.filter(|candidate| candidate.is_limited());
         let candidate = &candidates[chosen];
         let reason = match order.iter().position(|position| *position == chosen) {
             Some(0) => Reason::Home,
@@ -240,6 +275,7 @@
             reason,
             load: candidate.load,
             bound: bounds.max_load,
+            limited: limited.map(|candidate| candidate.target.key),
         })
     }
 
@@ -253,23 +289,25 @@
             .iter()
             .map(|candidate| candidate.target.entry.id.as_str());
         let order = rendezvous_order(query.request, names);
-        let is_available = |position: &&usize| {
-            let candidate = &candidates[**position];
-            candidate.is_usable && candidate.is_healthy
-        };
         let cost = |position: &usize| self.cost(&candidates[*position]);
-        let chosen = order
-            .iter()
-            .filter(is_available)
-            .min_by(|left, right| cost(left).total_cmp(&cost(right)))
-            .copied()
+        let cheapest = |is_suitable: &dyn Fn(&Candidate<'_>) -> bool| {
+            let suitable = order.iter().filter(|one| is_suitable(&candidates[**one]));
+            suitable
+                .min_by(|left, right| cost(left).total_cmp(&cost(right)))
+                .copied()
+        };
+        let chosen = cheapest(&|one| one.may_get_request() && one.is_healthy)
             .or_else(|| least_loaded(candidates))?;
+        let first_choice = cheapest(&|one| one.is_usable && one.is_healthy);
+        let limited = first_choice.map(|first| &candidates[first]);
+        let limited = limited.filter(|candidate| candidate.is_limited());
         Some(Choice {
             target: candidates[chosen].target.key,
             reason: Reason::LeastLoaded,
             fetch_from: None,
             load: candidates[chosen].load,
             bound: bounds.max_load,
+            limited: limited.map(|candidate| candidate.target.key),
         })
     }
 
@@ -300,9 +338,12 @@
         part: &PromptPart,
         targets: usize,
     ) -> usize {
-        let share =
-            self.popularity(query.service)
-                .count_request(now, part.id, shared_tokens(query.parts));
+        let popularity = self.popularity(query.service);
+        let share = if query.permits_denied == 0 {
+            popularity.count_request(now, part.id, shared_tokens(query.parts))
+        } else {
+            popularity.share(now, part.id)
+        };
         let homes = (share * targets as f64 / MAX_MEAN_LOADS_PER_HOME).ceil() as usize;
         homes.clamp(1, targets)
     }
@@ -326,8 +367,10 @@
     #[expect(clippy::cast_precision_loss)]
     fn bounds(&self, candidates: &[Candidate<'_>], override_bound: Option<&LoadBound>) -> Bounds {
         let bound = override_bound.unwrap_or(&self.bound);
+        // What targets with a limit don't take is to be carried by the others.
+        let carriers = candidates.iter().filter(|one| !one.is_limited()).count();
         let total: f64 = candidates.iter().map(|candidate| candidate.load).sum();
-        let mean = total / candidates.len() as f64;
+        let mean = total / carriers.max(1) as f64;
         let multiple = f64::from(bound.percent) / 100.0;
         let max_load = multiple * mean + f64::from(bound.extra) - BOUND_MARGIN_REQUESTS;
         Bounds {
@@ -358,6 +401,13 @@
 
 /// Why no candidate can get a request.
 fn why_unavailable(now: Moment, candidates: &[Candidate<'_>]) -> NoTarget {
+    let limited = candidates.iter().filter(|one| one.is_limited());
+    if let Some(first) = limited.min_by_key(|one| one.room_in) {
+        return NoTarget::Limited {
+            left: first.room_in,
+            target: first.target.key,
+        };
+    }
     let pauses = candidates.iter().map(|one| one.target.pause.left(now));
     match pauses.min() {
         Some(left) if !left.is_zero() => NoTarget::Paused { left },
@@ -365,8 +415,17 @@
     }
 }
 
+/// Time until a target may have room for a request within its limit.
+fn room_in(now: Moment, target: &KnownTarget, query: &TargetQuery<'_>) -> Duration {
+    let room_in = target.limit.room_in(now, query.priority);
+    if query.permits_denied < MAX_PERMITS_DENIED || target.limit.rate().is_none() {
+        return room_in;
+    }
+    room_in.max(PERMIT_PAUSE)
+}
+
 fn least_loaded(candidates: &[Candidate<'_>]) -> Option<usize> {
-    let usable = |position: &usize| candidates[*position].is_usable;
+    let usable = |position: &usize| candidates[*position].may_get_request();
     (0..candidates.len())
         .filter(usable)
         .min_by(|left, right| candidates[*left].load.total_cmp(&candidates[*right].load))
@@ -393,6 +452,7 @@
         load: target.load.estimate(now, mean_others),
         is_usable: may_get_request(target),
         is_healthy: !target.breaker.is_failing(now),
+        room_in: room_in(now, target, query),
         target,
     };
     targets.into_iter().map(to_candidate).collect()
--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -10,8 +10,9 @@
 
 use std::time::Duration;
 
+use crate::admission::target_limits::{LimitChange, TargetLimit};
 use crate::clock::Moment;
-use crate::ids::{ServiceId, hash_parts};
+use crate::ids::{ServiceId, TargetId, hash_parts};
 use crate::membership::{Directory, KnownTarget, TargetIncarnation};
 use crate::routing::choice::Chooser;
 use crate::routing::popularity::{PartRequests, PartShare};
@@ -21,6 +22,9 @@
 const MAX_LOADS: usize = 128;
 /// Longest list of popular parts of a service in one message; the most popular ones are kept.
 const MAX_PARTS: usize = 32;
+/// Longest list of limits in one message; those that changed last are kept. The others are learned
+/// from the targets' answers, and with permits.
+const MAX_LIMITS: usize = 64;
 /// Age above which a report is not passed on: the load has changed since.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
@@ -56,6 +60,8 @@
         pub loads: Vec<TargetLoad>,
         /// Requests that it got, by service and part.
         pub requests: Vec<(ServiceHash, Vec<PartRequests>)>,
+        /// Limits of targets that have changed.
+        pub limits: Vec<TargetLimit>,
     }
 
     /// Merged observations of several daemons.
@@ -65,6 +71,8 @@
         pub loads: Vec<TargetLoad>,
         /// Parts that need more than one home, by service.
         pub popular: Vec<(ServiceHash, Vec<PartShare>)>,
+        /// Limits of targets that have changed.
+        pub limits: Vec<TargetLimit>,
     }
 }
 
@@ -82,6 +90,7 @@
     Observations {
         requests: requests.collect(),
         loads: loads(now, since, directory, |target| target.load.is_own_report()),
+        limits: changed_limits(now, since, directory),
     }
 }
 
@@ -93,6 +102,7 @@
     Observations {
         requests: Vec::new(),
         loads: loads(now, since, directory, |_| true),
+        limits: changed_limits(now, since, directory),
     }
 }
 
@@ -129,6 +139,7 @@
     FleetSample {
         popular: popular.collect(),
         loads: loads(now, since, directory, |_| true),
+        limits: changed_limits(now, since, directory),
     }
 }
 
@@ -187,6 +198,37 @@
     loads
 }
 
+/// The limits that have changed at this daemon after `since`.
+fn changed_limits(now: Moment, since: Moment, directory: &Directory) -> Vec<TargetLimit> {
+    let changed = directory.targets().iter().filter_map(|target| {
+        let notice = target.limit.changed_since(since)?;
+        Some(TargetLimit::told(now, target.hash, &notice))
+    });
+    let mut limits: Vec<TargetLimit> = changed.collect();
+    limits.sort_by_key(|limit| limit.age);
+    limits.truncate(MAX_LIMITS);
+    limits
+}
+
+/// Merges limits that another daemon told. Returns what has changed here.
+pub fn merge_limits(
+    now: Moment,
+    limits: &[TargetLimit],
+    directory: &mut Directory,
+) -> Vec<(TargetId, LimitChange)> {
+    let mut sorted: Vec<&TargetLimit> = limits.iter().collect();
+    sorted.sort_by_key(|limit| limit.target);
+    let mut changes = Vec::new();
+    directory.for_each_limit(|target, view, id| {
+        if let Ok(position) = sorted.binary_search_by_key(&target, |limit| limit.target)
+            && let Some(change) = view.record(now, sorted[position].notice(now))
+        {
+            changes.push((id.clone(), change));
+        }
+    });
+    changes
+}
+
 fn merge_loads(now: Moment, loads: &[TargetLoad], directory: &mut Directory) {
     let mut sorted: Vec<&TargetLoad> = loads.iter().collect();
     sorted.sort_by_key(|load| load.target);
--- a/crates/core/src/routing/popularity.rs
+++ b/crates/core/src/routing/popularity.rs
@@ -74,11 +74,18 @@
         let tokens = f64::from(tokens);
         let mean = self.mean_tokens.unwrap_or(tokens);
         self.mean_tokens = Some(mean + TOKENS_WEIGHT * (tokens - mean));
-        let requests = self.add(now, part, 1.0);
-        let own_share = if self.total < MIN_SAMPLE_REQUESTS {
+        self.add(now, part, 1.0);
+        self.share(now, part)
+    }
+
+    /// Share of all requests that a part has at least, from 0 to 1.
+    #[must_use]
+    pub fn share(&self, now: Moment, part: u64) -> f64 {
+        let total = decayed(self.total, self.total_updated_at, now);
+        let own_share = if total < MIN_SAMPLE_REQUESTS {
             0.0
         } else {
-            proven_requests(requests) / self.total
+            proven_requests(self.requests(now, part)) / total
         };
         own_share.max(self.fleet_share(now, part))
     }
@@ -128,6 +135,15 @@
         self.fleet_shares_at = Some(now);
     }
 
+    /// Decayed number of requests that use a part.
+    fn requests(&self, now: Moment, part: u64) -> f64 {
+        let found = self.parts.binary_search_by_key(&part, |entry| entry.part);
+        found.map_or(0.0, |position| {
+            let entry = &self.parts[position];
+            decayed(entry.requests, entry.updated_at, now)
+        })
+    }
+
     fn fleet_share(&self, now: Moment, part: u64) -> f64 {
         let is_fresh = |at| now.saturating_sub(at) < FLEET_SHARES_TTL;
         if !self.fleet_shares_at.is_some_and(is_fresh) {
@@ -152,8 +168,8 @@
         }
     }
 
-    /// Adds requests for a part and returns the decayed number of its requests.
-    fn add(&mut self, now: Moment, part: u64, requests: f64) -> f64 {
+    /// Adds requests for a part.
+    fn add(&mut self, now: Moment, part: u64, requests: f64) {
         self.total = decayed(self.total, self.total_updated_at, now) + requests;
         self.total_updated_at = now;
         let position = match self.parts.binary_search_by_key(&part, |entry| entry.part) {
@@ -163,7 +179,6 @@
         let entry = &mut self.parts[position];
         entry.requests = decayed(entry.requests, entry.updated_at, now) + requests;
         entry.updated_at = now;
-        entry.requests
     }
 
     fn insert(&mut self, now: Moment, part: u64) -> usize {
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
+use lapismoor_core::admission::Priority;
 use lapismoor_core::ids::TargetKey;
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
 use lapismoor_core::routing::fleet_sample::{
@@ -299,6 +300,8 @@
             tried: &[],
             may_repeat_target: false,
             preference: AffinityPreference::default(),
+            priority: &Priority::default(),
+            permits_denied: 0,
         };
         let daemon = &mut self.daemons[daemon];
         let choice = daemon.chooser.choose(now, &daemon.directory, &query);
--- a/crates/core/tests/fleet_sample.rs
+++ b/crates/core/tests/fleet_sample.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
+use lapismoor_core::admission::Priority;
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
 use lapismoor_core::routing::fleet_sample::{
     apply_sample, collected_observations, fleet_sample, merge_observations, take_observations,
@@ -78,6 +79,8 @@
         tried: &[],
         may_repeat_target: false,
         preference: AffinityPreference::default(),
+        priority: &Priority::default(),
+        permits_denied: 0,
     };
     let choice = daemon.chooser.choose(now, &daemon.directory, &query);
     choice.expect("a target")
@@ -199,6 +202,7 @@
             age: at(0),
         }],
         requests: vec![(1, requests)],
+        limits: Vec::new(),
     };
     merge_observations(at(10), &observations, &mut one.directory, &mut one.chooser);
     for id in ["i-0", "i-1", "i-2"] {
--- a/crates/core/tests/placement_by_parts.rs
+++ b/crates/core/tests/placement_by_parts.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use lapismoor_core::admission::Priority;
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
 use lapismoor_core::routing::{
     AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, Reason, ReportedLoad,
@@ -59,6 +60,8 @@
         tried: &[],
         may_repeat_target: false,
         preference: AffinityPreference::default(),
+        priority: &Priority::default(),
+        permits_denied: 0,
     };
     chooser.choose(now, directory, &query)
 }
@@ -274,6 +277,8 @@
             tried: &[only],
             may_repeat_target,
             preference: AffinityPreference::default(),
+            priority: &Priority::default(),
+            permits_denied: 0,
         };
         let actual = daemon.choose(at(0), &directory, &query);
         assert_eq!(actual.map(|choice| choice.target), expected);
@@ -331,6 +336,8 @@
             reuse_weight,
             bound: None,
         },
+        priority: &Priority::default(),
+        permits_denied: 0,
     };
     let actual = daemon.choose(at(2), &directory, &query).expect("targets");
     assert_eq!(actual.target == home.target, is_home);
@@ -346,6 +353,7 @@
         percent: 150,
         extra: 3,
     };
+    let priority = Priority::default();
     let query = |bound| TargetQuery {
         service: &service,
         parts: &[],
@@ -356,6 +364,8 @@
             reuse_weight: 0.5,
             bound,
         },
+        priority: &priority,
+        permits_denied: 0,
     };
     let mut directory = directory;
     let keys: Vec<_> = directory.targets().iter().map(|one| one.key).collect();
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,7 +8,7 @@
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
-    Evidence, LimitChange, LimitNotice, RequestRate, StopPlan, Suspects, Workspaces,
+    Allocators, Evidence, LimitNotice, ReturnSchedule, StopPlan, Suspects, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey};
@@ -31,6 +31,7 @@
 use crate::in_flight::RequestsInFlight;
 use crate::metrics::Metrics;
 use crate::millis::millis;
+use crate::permits::{PermitPeers, log_limit_change};
 use crate::profiles::KeyLease;
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
@@ -88,6 +89,8 @@
     /// Connection to the daemon from which this one reads the store; none if it reads the store
     /// itself.
     pub collector: RefCell<Option<Rc<MirrorClient>>>,
+    /// Connections to the daemons that hand out permits.
+    pub permit_peers: PermitPeers,
     /// Count of bytes exchanged with other daemons.
     pub peer_bytes: ByteCounter,
 }
@@ -107,6 +110,10 @@
     pub suspects: Suspects,
     /// Known targets, with their load and health.
     pub directory: Directory,
+    /// This daemon's part of the permits for targets with a limit.
+    pub allocators: Allocators,
+    /// Times at which callers return that were refused for limits.
+    pub returns: ReturnSchedule,
     /// Targets at which requests were given up.
     pub crash_watch: CrashWatch,
     /// Copy of the data in the store.
@@ -169,6 +176,8 @@
             ledger,
             suspects: Suspects::new(incarnation),
             directory: Directory::default(),
+            allocators: Allocators::default(),
+            returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
             mirror: Mirror::default(),
             daemons: Vec::new(),
@@ -206,6 +215,7 @@
             idempotent_request_ended: Notify::new(),
             key_lease,
             collector: RefCell::new(None),
+            permit_peers: PermitPeers::default(),
             peer_bytes: ByteCounter::default(),
         })
     }
@@ -450,7 +460,7 @@
     /// `sent_at`. A value that cannot be read says only that there is a limit, so that the known one
     /// stays.
     pub fn target_named_limit(
-        &self,
+        self: &Rc<Self>,
         target: TargetKey,
         sent_at: Moment,
         limit: Option<&NamedLimit>,
@@ -474,8 +484,13 @@
             sent_at,
             received_at,
         };
-        if let Some(change) = known.limit.record(notice) {
-            log_limit_change(id, &change);
+        let Some(change) = known.limit.record(received_at, notice) else {
+            return;
+        };
+        log_limit_change(id, &change, id);
+        drop(state);
+        if change.before.is_some() != change.now.is_some() {
+            self.tell_limit(target);
         }
     }
 
@@ -694,12 +709,3 @@
         change(&mut retry_budgets[position].1)
     }
 }
-
-fn log_limit_change(target: &TargetId, change: &LimitChange) {
-    log::info!(
-        target:%,
-        limit_per_s = change.now.map(RequestRate::per_s),
-        before_per_s = change.before.map(RequestRate::per_s);
-        "target_limit_changed"
-    );
-}
--- a/crates/edge/src/history/cause.rs
+++ b/crates/edge/src/history/cause.rs
@@ -19,7 +19,7 @@
 }
 
 /// Name, meaning and remedy of each known cause.
-const CAUSES: [(&str, &str, &str); 33] = [
+const CAUSES: [(&str, &str, &str); 35] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -55,6 +55,16 @@
         "every target that was tried rejected the request, or the service's retry budget was used up",
         "check retries_left and the load of the service",
     ),
+    (
+        "targets_limited",
+        "every target had reached the request rate that it takes from all daemons together",
+        "look for its limit_reached events: target, limit, share of this daemon and age of the limit; find out why the targets name limits",
+    ),
+    (
+        "limit_reached",
+        "the target that was to get the request next had reached the request rate that it takes",
+        "look for its limit_reached events: target, limit, share of this daemon and age of the limit",
+    ),
     (
         "full",
         "the request would have waited longer than its latency objective allows",
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lapismoor_core::ids::ServiceId;
+use lapismoor_core::ids::{ServiceId, TargetId};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -24,6 +24,10 @@
     requests_refused: Counter<u64>,
     requests_failed: Counter<u64>,
     attempts_failed: Counter<u64>,
+    requests_limited: Counter<u64>,
+    permits: Counter<u64>,
+    target_limit: Gauge<f64>,
+    target_share: Gauge<f64>,
     /// Connections opened to targets since the start.
     pub connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
@@ -80,6 +84,22 @@
             requests_refused: counter("lapismoor.request.refused", "Requests refused, by reason"),
             requests_failed: counter("lapismoor.request.failed", "Requests failed, by cause"),
             attempts_failed: counter("lapismoor.attempt.failed", "Attempts failed, by cause"),
+            requests_limited: counter(
+                "lapismoor.request.limited",
+                "Requests for which a target had no room within its limit, by what followed",
+            ),
+            permits: counter(
+                "lapismoor.permit.asked",
+                "Permits asked for to send a request to a target with a limit, by result",
+            ),
+            target_limit: meter
+                .f64_gauge("lapismoor.target.limit")
+                .with_description("Requests per second that a target took from all daemons together when it last had no room")
+                .build(),
+            target_share: meter
+                .f64_gauge("lapismoor.target.share")
+                .with_description("Requests per second that this daemon was permitted to a target when it last had no room")
+                .build(),
             connections_opened: counter(
                 "lapismoor.target.connections",
                 "Connections opened to targets",
@@ -157,6 +177,26 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts an answer to a request for a permit.
+    pub fn count_permit(&self, result: &'static str) {
+        self.permits.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    /// Counts a request for which a target had no room within its limit of `limit_per_s`, of which
+    /// this daemon was permitted `share_per_s` lately; both in requests per second.
+    pub fn record_limited(
+        &self,
+        target: &TargetId,
+        limit_per_s: f64,
+        share_per_s: f64,
+        next: &'static str,
+    ) {
+        self.requests_limited.add(1, &[KeyValue::new("next", next)]);
+        let labels = [KeyValue::new("target", target.to_string())];
+        self.target_limit.record(limit_per_s, &labels);
+        self.target_share.record(share_per_s, &labels);
+    }
+
     /// Records how many retries are left in a service's budget.
     pub fn record_retries_left(&self, service: &ServiceId, left: u64) {
         let labels = [KeyValue::new("service", service.to_string())];
--- /dev/null
+++ b/crates/edge/src/permits.rs
@@ -0,0 +1,379 @@
+//! Permits for requests to targets that name a limit, from this daemon or another one.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::rt;
+use lapismoor_core::Moment;
+use lapismoor_core::admission::target_limits::{
+    PermitAnswer, PermitRequest, PermitResult, TargetLimit, is_allocator, permit_sources,
+};
+use lapismoor_core::admission::{LimitChange, PermitDecision, Priority, Rates, RequestRate};
+use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
+use lapismoor_core::membership::{DaemonRecord, is_small_fleet};
+use lapismoor_core::routing::fleet_sample::{TargetHash, merge_limits};
+use lapismoor_mirror::{MirrorClient, MirrorError};
+
+use crate::context::{Edge, State};
+use crate::millis::millis;
+
+/// Timeout of a call for a permit, with the connection: the request waits meanwhile.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a daemon that did not answer is not asked again.
+const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
+/// Time after which an unused connection to another daemon is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Connections to the daemons that hand out permits.
+#[derive(Default)]
+pub struct PermitPeers {
+    peers: RefCell<Vec<PermitPeer>>,
+}
+
+/// Another daemon that hands out permits.
+struct PermitPeer {
+    daemon: DaemonRecord,
+    connection: Option<Rc<MirrorClient>>,
+    used_at: Moment,
+    /// Until when it is not asked, since it did not answer.
+    failed_until: Moment,
+}
+
+/// A target's limit, for logs.
+#[derive(Debug, Clone)]
+pub(crate) struct LimitReport {
+    pub target: TargetId,
+    /// Requests per second that the target takes from all daemons together.
+    pub limit_per_s: f64,
+    /// Requests per second that this daemon was permitted lately.
+    pub share_per_s: f64,
+    /// Time since the answer that named the limit.
+    pub age: Duration,
+    /// Time until a request with the same priority may have room.
+    pub room_in: Duration,
+}
+
+impl PermitPeers {
+    /// Closes connections that are not in use.
+    pub(crate) fn close_idle(&self, now: Moment) {
+        self.peers.borrow_mut().retain(|peer| {
+            let is_used = now.saturating_sub(peer.used_at) < IDLE_TIMEOUT;
+            is_used || now < peer.failed_until
+        });
+    }
+
+    /// The open connection to a daemon.
+    fn connection(&self, now: Moment, daemon: &DaemonRecord) -> Option<Rc<MirrorClient>> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers.iter_mut().find(|peer| peer.daemon == *daemon)?;
+        peer.used_at = now;
+        peer.connection.clone()
+    }
+
+    fn is_backed_off(&self, now: Moment, daemon: &DaemonRecord) -> bool {
+        let peers = self.peers.borrow();
+        let mut peers = peers.iter();
+        peers.any(|peer| peer.daemon == *daemon && now < peer.failed_until)
+    }
+
+    /// Replaces what is known of a daemon: its connection, or until when it is not asked.
+    fn set(
+        &self,
+        now: Moment,
+        daemon: &DaemonRecord,
+        connection: Option<Rc<MirrorClient>>,
+        failed_until: Moment,
+    ) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|peer| peer.daemon.id != daemon.id);
+        peers.push(PermitPeer {
+            daemon: daemon.clone(),
+            connection,
+            used_at: now,
+            failed_until,
+        });
+    }
+}
+
+impl Edge {
+    /// Takes a permit for one request to a target, and returns whether the request may be sent. A
+    /// target without a limit needs none.
+    pub(crate) async fn take_permit(&self, target: TargetKey, priority: &Priority) -> bool {
+        let Some((hash, sources)) = self.permit_sources_of(target) else {
+            return true;
+        };
+        let mut wait = None;
+        for source in sources {
+            let Some(request) = self.permit_request(target, priority) else {
+                return true;
+            };
+            let result = match &source {
+                None => self.decide_permit(hash, &request).result,
+                Some(daemon) => self.ask_for_permit(daemon, request).await,
+            };
+            self.metrics.count_permit(result_name(result));
+            match result {
+                PermitResult::Granted => {
+                    self.record_permit(target);
+                    return true;
+                }
+                PermitResult::Unlimited => return true,
+                PermitResult::Denied { wait: this } => {
+                    wait = Some(wait.map_or(this, |other: Duration| other.min(this)));
+                }
+                PermitResult::NotAllocator => {}
+            }
+        }
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known
+                .limit
+                .close(now, priority, wait.unwrap_or(FAILURE_BACKOFF));
+        }
+        false
+    }
+
+    /// The daemons to ask for a permit, `None` for this one; `None` if the target has no limit.
+    fn permit_sources_of(
+        &self,
+        target: TargetKey,
+    ) -> Option<(TargetHash, Vec<Option<DaemonRecord>>)> {
+        let state = self.state.borrow();
+        let known = state.directory.get(target)?;
+        known.limit.rate()?;
+        let own = &self.settings.daemon;
+        let sources = permit_sources(known.hash, &state.daemons, own);
+        if sources.is_empty() {
+            return Some((known.hash, vec![None]));
+        }
+        let sources = sources.into_iter();
+        let others = sources.map(|daemon| (daemon.id != *own).then(|| daemon.clone()));
+        Some((known.hash, others.collect()))
+    }
+
+    /// The request for a permit; `None` if the target has no limit any more.
+    fn permit_request(&self, target: TargetKey, priority: &Priority) -> Option<PermitRequest> {
+        let state = self.state.borrow();
+        let known = state.directory.get(target)?;
+        let notice = known
+            .limit
+            .notice()
+            .filter(|notice| notice.rate.is_some())?;
+        Some(PermitRequest {
+            limit: TargetLimit::told(self.now(), known.hash, &notice),
+            priority: priority.clone(),
+        })
+    }
+
+    fn record_permit(&self, target: TargetKey) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.limit.record_permit(now);
+        }
+    }
+
+    async fn ask_for_permit(&self, daemon: &DaemonRecord, request: PermitRequest) -> PermitResult {
+        let now = self.now();
+        if self.permit_peers.is_backed_off(now, daemon) {
+            return PermitResult::NotAllocator;
+        }
+        let call = async {
+            let connection = self.peer_connection(daemon).await?;
+            connection.take_permit(&request).await
+        };
+        let reason = match tokio::time::timeout(PERMIT_TIMEOUT, call).await {
+            Ok(Ok(answer)) => {
+                self.merge_limits(&[answer.limit], &daemon.id);
+                return answer.result;
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "the daemon did not answer within the timeout".into(),
+        };
+        self.peer_failed(daemon, &reason);
+        PermitResult::NotAllocator
+    }
+
+    async fn peer_connection(
+        &self,
+        daemon: &DaemonRecord,
+    ) -> Result<Rc<MirrorClient>, MirrorError> {
+        if let Some(connection) = self.permit_peers.connection(self.now(), daemon) {
+            return Ok(connection);
+        }
+        let connecting = MirrorClient::connect(daemon.address, self.peer_bytes.clone());
+        let connection = Rc::new(connecting.await?);
+        let kept = Some(Rc::clone(&connection));
+        self.permit_peers
+            .set(self.now(), daemon, kept, Moment::ZERO);
+        Ok(connection)
+    }
+
+    fn peer_failed(&self, daemon: &DaemonRecord, reason: &str) {
+        log::info!(peer:% = daemon.id, reason; "permit_not_answered");
+        let now = self.now();
+        self.permit_peers
+            .set(now, daemon, None, now + FAILURE_BACKOFF);
+    }
+
+    /// Decides on a permit for a request of another daemon.
+    pub(crate) fn answer_permit(&self, request: &PermitRequest) -> PermitAnswer {
+        self.merge_limits(&[request.limit], "");
+        self.decide_permit(request.limit.target, request)
+    }
+
+    /// Decides on a permit from this daemon's half of the limit. A target that is not listed here
+    /// yet has the limit that the request tells.
+    fn decide_permit(&self, target: TargetHash, request: &PermitRequest) -> PermitAnswer {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let known = state.directory.find_by_hash(target);
+        let notice = known.and_then(|known| known.limit.notice());
+        let notice = notice.unwrap_or_else(|| request.limit.notice(now));
+        let limit = TargetLimit::told(now, target, &notice);
+        let result = match notice.rate {
+            None => PermitResult::Unlimited,
+            Some(_) if !is_allocator(target, &state.daemons, &self.settings.daemon) => {
+                PermitResult::NotAllocator
+            }
+            Some(rate) => {
+                let rates = Rates::part_of(rate, &state.daemons);
+                let allocators = &mut state.allocators;
+                match allocators.take(now, target, rates, &request.priority) {
+                    PermitDecision::Granted => PermitResult::Granted,
+                    PermitDecision::Denied { wait } => PermitResult::Denied { wait },
+                }
+            }
+        };
+        PermitAnswer { result, limit }
+    }
+
+    /// Merges limits that another daemon told.
+    pub(crate) fn merge_limits(&self, limits: &[TargetLimit], source: &str) {
+        let now = self.now();
+        let changes = merge_limits(now, limits, &mut self.state.borrow_mut().directory);
+        for (target, change) in changes {
+            log_limit_change(&target, &change, source);
+        }
+    }
+
+    /// Tells other daemons that a target has begun or ceased to name a limit: all of a small fleet,
+    /// and of a large one those that hand out its permits. The others learn it with the next
+    /// exchange of observations.
+    pub(crate) fn tell_limit(self: &Rc<Self>, target: TargetKey) {
+        let now = self.now();
+        let (limit, daemons) = {
+            let state = self.state.borrow();
+            let Some(known) = state.directory.get(target) else {
+                return;
+            };
+            let Some(notice) = known.limit.notice() else {
+                return;
+            };
+            let limit = TargetLimit::told(now, known.hash, &notice);
+            let daemons: Vec<DaemonRecord> = if is_small_fleet(&state.daemons) {
+                state.daemons.clone()
+            } else {
+                let sources = permit_sources(known.hash, &state.daemons, &self.settings.daemon);
+                sources.into_iter().cloned().collect()
+            };
+            (limit, daemons)
+        };
+        let others = daemons.into_iter();
+        for daemon in others.filter(|daemon| daemon.id != self.settings.daemon) {
+            let edge = Rc::clone(self);
+            rt::spawn(async move { edge.tell_limit_to(&daemon, limit).await });
+        }
+    }
+
+    async fn tell_limit_to(&self, daemon: &DaemonRecord, limit: TargetLimit) {
+        if self.permit_peers.is_backed_off(self.now(), daemon) {
+            return;
+        }
+        let call = async {
+            let connection = self.peer_connection(daemon).await?;
+            connection.tell_limits(&[limit]).await
+        };
+        match tokio::time::timeout(PERMIT_TIMEOUT, call).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => self.peer_failed(daemon, &error.to_string()),
+            Err(_) => self.peer_failed(daemon, "the daemon did not answer within the timeout"),
+        }
+    }
+
+    /// The limit of a target as it holds for a request with this priority.
+    pub(crate) fn limit_report(
+        &self,
+        target: TargetKey,
+        priority: &Priority,
+    ) -> Option<LimitReport> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let known = state.directory.get(target)?;
+        let notice = known.limit.notice()?;
+        Some(LimitReport {
+            target: known.entry.id.clone(),
+            limit_per_s: notice.rate?.per_s(),
+            share_per_s: known.limit.share_per_s(now),
+            age: notice.age(now),
+            room_in: known.limit.room_in(now, priority),
+        })
+    }
+
+    /// Time after which a caller that was refused may return, if a target of the service may have
+    /// room in `room_in`.
+    pub(crate) fn limit_retry_after(&self, service: &ServiceId, room_in: Duration) -> Duration {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let targets = state.directory.in_use(service);
+        let permitted_per_s: f64 = targets.map(|target| target.limit.share_per_s(now)).sum();
+        state.returns.next(now, service, room_in, permitted_per_s)
+    }
+}
+
+impl State {
+    /// Forgets the permits for targets that other daemons hand out now.
+    pub(crate) fn update_allocators(&mut self, now: Moment, own: &str) {
+        let daemons = &self.daemons;
+        self.allocators
+            .retain(now, |target| is_allocator(target, daemons, own));
+    }
+}
+
+fn result_name(result: PermitResult) -> &'static str {
+    match result {
+        PermitResult::Granted => "granted",
+        PermitResult::Denied { .. } => "denied",
+        PermitResult::Unlimited => "unlimited",
+        PermitResult::NotAllocator => "not_answered",
+    }
+}
+
+/// Logs a change of a target's limit; `source` is the daemon that told it, empty if it is not known,
+/// and the target itself if that named it.
+pub(crate) fn log_limit_change(target: &TargetId, change: &LimitChange, source: &str) {
+    log::info!(
+        target:%,
+        limit_per_s = change.now.map(RequestRate::per_s),
+        before_per_s = change.before.map(RequestRate::per_s),
+        source;
+        "target_limit_changed"
+    );
+}
+
+impl LimitReport {
+    /// Logs that a target had no room for a request, and what follows.
+    pub(crate) fn log(&self, request: &str, next: &str) {
+        log::info!(
+            request,
+            target:% = self.target,
+            limit_per_s = self.limit_per_s,
+            share_per_s = self.share_per_s,
+            limit_age_ms = millis(self.age),
+            room_in_ms = millis(self.room_in),
+            next;
+            "limit_reached"
+        );
+    }
+}
--- a/crates/edge/src/profiles/outcome.rs
+++ b/crates/edge/src/profiles/outcome.rs
@@ -46,7 +46,7 @@
 /// The failure reported for a request that no target ran.
 pub(super) fn refusal_failure(refusal: &Refusal) -> Failure {
     let (proof, kind) = match refusal {
-        Refusal::Busy | Refusal::TargetsPaused { .. } => {
+        Refusal::Busy | Refusal::TargetsPaused { .. } | Refusal::TargetsLimited { .. } => {
             (NotRunProof::RefusedByTargets, FailureKind::NoTarget)
         }
         Refusal::NoTarget | Refusal::Unreachable => {
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
+use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
 use lapismoor_core::admission::{Belief, Refusal, SuspectKind};
 use lapismoor_core::ids::{Fingerprint, ServiceId, TargetKey, hash_parts};
@@ -87,6 +88,8 @@
     pub in_flight: RefCell<Vec<InFlight>>,
     /// Number of runs before the trial that this job claimed; the trial permits one more.
     pub trial_after_runs: Option<u32>,
+    /// Whether a target had no room for the request within its limit.
+    pub is_limited: Cell<bool>,
     /// Whether the end of the request was logged and counted.
     pub is_end_reported: Cell<bool>,
     /// Whether the head of a stream was forwarded to the caller, so that no other answer than a
@@ -119,6 +122,7 @@
             fingerprint,
             in_flight: RefCell::default(),
             trial_after_runs: None,
+            is_limited: Cell::new(false),
             is_end_reported: Cell::new(false),
             is_streaming: false,
             is_delivering: false,
@@ -155,12 +159,64 @@
         self.deadline.saturating_sub(self.edge.now())
     }
 
-    /// Chooses the target of the next attempt.
-    pub(crate) fn choose_target(&self) -> Result<Choice, NoTarget> {
-        self.choose(&self.tried.borrow(), self.may_repeat_target.get())
+    /// Chooses the target of the next attempt and takes a permit for it, if it has a limit. Waits
+    /// until `give_up_at` at most while all targets have reached their limits.
+    ///
+    /// # Errors
+    /// [`NoTarget`] if no target can get the request.
+    pub(crate) async fn choose_target(&self, give_up_at: Moment) -> Result<Choice, NoTarget> {
+        let mut permits_denied = 0;
+        loop {
+            let chosen = self.choose(
+                &self.tried.borrow(),
+                self.may_repeat_target.get(),
+                permits_denied,
+            );
+            let reason = match chosen {
+                Ok(choice) if self.take_permit(&choice).await => {
+                    if let Some(limited) = choice.limited {
+                        report::limit_reached(self, limited, "sent_elsewhere");
+                    }
+                    return Ok(choice);
+                }
+                Ok(_) => {
+                    permits_denied += 1;
+                    continue;
+                }
+                Err(reason) => reason,
+            };
+            let NoTarget::Limited { left, target } = reason else {
+                return Err(reason);
+            };
+            if self.edge.now() + left > give_up_at {
+                report::limit_reached(self, target, "refused");
+                return Err(reason);
+            }
+            tokio::time::sleep(left).await;
+            permits_denied = 1;
+        }
+    }
+
+    /// Until when a request that was not sent yet may wait for room within the limits of targets:
+    /// as long as in the admission queue.
+    pub(crate) fn limit_wait_end(&self) -> Moment {
+        let now = self.edge.now();
+        let objective = self.request.route.latency_objective;
+        now + max_wait(objective, self.request.received, now)
     }
 
-    fn choose(&self, tried: &[TargetKey], may_repeat_target: bool) -> Result<Choice, NoTarget> {
+    /// Takes a permit to send the request to the target of `choice`. Returns whether there was one.
+    pub(crate) async fn take_permit(&self, choice: &Choice) -> bool {
+        let priority = &self.request.priority;
+        self.edge.take_permit(choice.target, priority).await
+    }
+
+    fn choose(
+        &self,
+        tried: &[TargetKey],
+        may_repeat_target: bool,
+        permits_denied: usize,
+    ) -> Result<Choice, NoTarget> {
         let now = self.edge.now();
         // Requests that share a prompt part and were interrupted together would otherwise follow
         // the one that crashes targets from home to home.
@@ -176,6 +232,8 @@
             tried,
             may_repeat_target,
             preference: self.request.preference.clone(),
+            priority: &self.request.priority,
+            permits_denied,
         };
         let mut state = self.edge.state.borrow_mut();
         let state = &mut *state;
@@ -218,7 +276,7 @@
         };
         self.retry_policy().replace(request, || {
             let unsuitable = self.unsuitable_replacements(silent_since)?;
-            self.choose(&unsuitable, false).ok()
+            self.choose(&unsuitable, false, 0).ok()
         })
     }
 
@@ -321,9 +379,10 @@
     }
 
     /// Whether attempts and success are logged: for sampled requests, and for all after a failed
-    /// attempt.
+    /// attempt, or for which a target had no room.
     pub(crate) fn should_log(&self) -> bool {
-        !self.tried.borrow().is_empty() || is_sampled(&self.edge, &self.request.envelope.id)
+        let is_notable = !self.tried.borrow().is_empty() || self.is_limited.get();
+        is_notable || is_sampled(&self.edge, &self.request.envelope.id)
     }
 }
 
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -4,7 +4,7 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::Refusal;
 use lapismoor_core::admission::suspects::{Judgement, Standing};
-use lapismoor_core::ids::TargetId;
+use lapismoor_core::ids::{TargetId, TargetKey};
 use lapismoor_core::retry::{NextStep, Obstacle};
 use lapismoor_core::routing::{Choice, shared_prompt_parts};
 
@@ -25,6 +25,18 @@
     refused(&job.edge, id, job.request.received, refusal);
 }
 
+/// Reports that a target had no room for the request within its limit, and what follows.
+pub(crate) fn limit_reached(job: &Job, target: TargetKey, next: &'static str) {
+    job.is_limited.set(true);
+    let edge = &job.edge;
+    let Some(report) = edge.limit_report(target, &job.request.priority) else {
+        return;
+    };
+    edge.metrics
+        .record_limited(&report.target, report.limit_per_s, report.share_per_s, next);
+    report.log(&job.request.envelope.id, next);
+}
+
 /// The interruptions of a subject with one of these judgements, each as target and witness.
 fn observed(job: &Job, subject: Subject, judgements: &[Judgement]) -> String {
     let state = job.edge.state.borrow();
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -23,6 +23,9 @@
 /// Cause of a request that is not sent again because it crashed targets.
 pub(crate) const CRASHES_TARGETS: &str = "crashes_targets";
 
+/// Cause of a request that is not sent again because the targets have reached their limits.
+pub(crate) const LIMIT_REACHED: &str = "limit_reached";
+
 /// How a request ended.
 pub(crate) enum Outcome {
     /// An answer of a target that was read completely.
@@ -66,7 +69,7 @@
         if let Err(banned_for) = job.clear_to_send().await {
             return refuse_suspect(&job, banned_for, last_failure);
         }
-        let choice = match job.choose_target() {
+        let choice = match job.choose_target(job.limit_wait_end()).await {
             Ok(choice) => choice,
             Err(reason) => return no_target(&job, &reason, last_failure),
         };
@@ -132,11 +135,18 @@
 
 fn no_target(job: &Job, reason: &NoTarget, last_failure: Option<BufferedAnswer>) -> Outcome {
     if job.progress.get().runs > 0 {
-        return give_up(job, &NextStep::PassOn, "no_target", last_failure);
+        let cause = match reason {
+            NoTarget::Limited { .. } => LIMIT_REACHED,
+            _ => "no_target",
+        };
+        return give_up(job, &NextStep::PassOn, cause, last_failure);
     }
     let refusal = match reason {
         NoTarget::NoneInUse => Refusal::NoTarget,
         NoTarget::NoneReachable => Refusal::Unreachable,
+        NoTarget::Limited { left, .. } => Refusal::TargetsLimited {
+            retry_after: job.edge.limit_retry_after(&job.request.service, *left),
+        },
         NoTarget::Paused { left } => Refusal::TargetsPaused { retry_after: *left },
     };
     refuse(job, refusal)
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use lapismoor_core::Moment;
-use lapismoor_core::retry::NextStep;
+use lapismoor_core::retry::{MAX_SOUND_SILENCE, NextStep};
 use lapismoor_core::routing::Choice;
 use lapismoor_core::stream::EventSplitter;
 
@@ -213,7 +213,9 @@
             }
             let clear = self.job.clear_to_send().await;
             clear.map_err(|_| CRASHES_TARGETS)?;
-            let choice = self.job.choose_target().map_err(|_| failed.cause)?;
+            let give_up_at = self.job.edge.now() + MAX_SOUND_SILENCE.min(self.job.time_left());
+            let chosen = self.job.choose_target(give_up_at).await;
+            let choice = chosen.map_err(|_| failed.cause)?;
             let last_event = self.splitter.last_id();
             let (choice, result) = takeover::run_attempt(&self.job, choice, last_event).await;
             self.choice = choice;
--- a/crates/edge/src/serve/takeover.rs
+++ b/crates/edge/src/serve/takeover.rs
@@ -15,6 +15,7 @@
 use super::attempt::{self, Answer, FailedAttempt, PreparedAttempt};
 use super::job::Job;
 use super::report;
+use super::run::LIMIT_REACHED;
 
 /// Time for which an overdue attempt stays open after another target got the request. Two targets
 /// must not work on it for 400 ms; the rest is left for the close to arrive.
@@ -185,10 +186,17 @@
     open: impl Future<Output = Result<T, FailedAttempt>>,
 ) -> Offer<'_, T> {
     tokio::pin!(open);
+    let preparing = async {
+        if !job.take_permit(&choice).await {
+            report::limit_reached(job, choice.target, "kept_open");
+            return Err(FailedAttempt::new(AttemptEnd::NotSent, LIMIT_REACHED));
+        }
+        attempt::prepare(job, choice.clone()).await
+    };
     let prepared = tokio::select! {
         biased;
         result = &mut open => return Offer::Ended(result),
-        prepared = attempt::prepare(job, choice.clone()) => prepared,
+        prepared = preparing => prepared,
     };
     let prepared = match prepared {
         Ok(prepared) => prepared,
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use lapismoor_core::Moment;
+use lapismoor_core::admission::RequestRate;
 use lapismoor_core::ids::{DaemonId, ServiceId, TargetId};
 use lapismoor_core::membership::KnownTarget;
 use serde::{Deserialize, Serialize};
@@ -60,6 +61,15 @@
     pub load_age_ms: Option<u64>,
     /// Time since the target last sent any bytes, in milliseconds.
     pub heard_ms_ago: u64,
+    /// Requests per second that the target takes from all daemons together; `None` without a limit.
+    #[serde(default)]
+    pub limit_per_s: Option<f64>,
+    /// Requests per second that this daemon was permitted lately, if there is a limit.
+    #[serde(default)]
+    pub share_per_s: Option<f64>,
+    /// Age of the answer that named the limit, in milliseconds.
+    #[serde(default)]
+    pub limit_age_ms: Option<u64>,
 }
 
 impl TargetStatus {
@@ -96,6 +106,8 @@
 }
 
 fn target_status(target: &KnownTarget, now: Moment) -> TargetStatus {
+    let rate = target.limit.rate();
+    let notice = target.limit.notice().filter(|_| rate.is_some());
     TargetStatus {
         id: target.entry.id.clone(),
         service: target.entry.service.clone(),
@@ -105,5 +117,8 @@
         own_requests: target.load.own_requests(),
         load_age_ms: target.load.report_age(now).map(millis),
         heard_ms_ago: millis(now.saturating_sub(target.last_received_at)),
+        limit_per_s: rate.map(RequestRate::per_s),
+        share_per_s: rate.map(|_| target.limit.share_per_s(now)),
+        limit_age_ms: notice.map(|notice| millis(notice.age(now))),
     }
 }
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -43,15 +43,14 @@
             log::warn!(key:%, reason:%; "suspects_unreadable");
         }
         StoreUpdate::Trial(trial) => edge.state.borrow_mut().suspects.record_trial(now, trial),
-        StoreUpdate::Daemon(record) => apply_daemon(edge, record, cause),
+        StoreUpdate::Daemon(record) => apply_daemon(edge, now, record, cause),
         // Its announcement may be lost while it still runs.
         StoreUpdate::DaemonGone { .. } if cause == Cause::Restored => {}
         StoreUpdate::DaemonGone { id } => {
             log::info!(peer:% = id; "daemon_gone");
-            edge.state
-                .borrow_mut()
-                .daemons
-                .retain(|daemon| daemon.id != id);
+            let mut state = edge.state.borrow_mut();
+            state.daemons.retain(|daemon| daemon.id != id);
+            state.update_allocators(now, &edge.settings.daemon);
         }
         StoreUpdate::TargetGone { id } => {
             let mut state = edge.state.borrow_mut();
@@ -130,11 +129,12 @@
     }
 }
 
-fn apply_daemon(edge: &Edge, record: DaemonRecord, cause: Cause) {
+fn apply_daemon(edge: &Edge, now: Moment, record: DaemonRecord, cause: Cause) {
     if record.id == edge.settings.daemon && record.incarnation != edge.incarnation() {
         edge.found_predecessor();
     }
-    let daemons = &mut edge.state.borrow_mut().daemons;
+    let mut state = edge.state.borrow_mut();
+    let daemons = &mut state.daemons;
     match daemons.binary_search_by(|known| known.id.cmp(&record.id)) {
         Ok(position) => daemons[position] = record,
         Err(position) => {
@@ -142,6 +142,7 @@
                 log::info!(peer:% = record.id, domain:% = record.domain; "daemon_listed");
             }
             daemons.insert(position, record);
+            state.update_allocators(now, &edge.settings.daemon);
         }
     }
 }
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -21,6 +21,8 @@
     let for_watch = Rc::clone(edge);
     let for_report = Rc::clone(edge);
     let for_exchange = Rc::clone(edge);
+    let for_permits = Rc::clone(edge);
+    let for_limits = Rc::clone(edge);
     MirrorSource {
         list: Rc::new(move || {
             let edge = Rc::clone(&for_list);
@@ -34,6 +36,8 @@
         exchange: Rc::new(move |observations, since| {
             take_exchange(&for_exchange, &observations, since)
         }),
+        take_permit: Rc::new(move |request| for_permits.answer_permit(&request)),
+        tell_limits: Rc::new(move |limits| for_limits.merge_limits(&limits, "")),
     }
 }
 
--- a/crates/edge/src/store/observations.rs
+++ b/crates/edge/src/store/observations.rs
@@ -81,6 +81,7 @@
             return false;
         };
         self.succeeded_at = now;
+        edge.merge_limits(&sample.limits, "collector");
         // Ages count from the time of the call, so that loads never seem fresher than they are.
         let mut state = edge.state.borrow_mut();
         let state = &mut *state;
@@ -151,6 +152,7 @@
     observations: &Observations,
     since: Duration,
 ) -> FleetSample {
+    edge.merge_limits(&observations.limits, "");
     let now = edge.now();
     let mut state = edge.state.borrow_mut();
     let state = &mut *state;
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -14,6 +14,12 @@
   exchange @3 (observations :Observations, sinceMs :UInt32) -> (sample :FleetSample);
   # Merges what the caller has observed since its last call, and returns what this daemon has learned
   # in the last milliseconds.
+
+  takePermit @4 (request :PermitRequest) -> (answer :PermitAnswer);
+  # A permit for one request to a target with a limit.
+
+  tellLimits @5 (limits :List(TargetLimit)) -> ();
+  # Limits that have changed.
 }
 
 struct Answer {
@@ -43,12 +49,16 @@
   loads @0 :List(TargetLoad);
   requests @1 :List(ServiceParts);
   # Number of requests by part.
+
+  limits @2 :List(TargetLimit);
 }
 
 struct FleetSample {
   loads @0 :List(TargetLoad);
   popular @1 :List(ServiceParts);
   # Share of the service's requests by part, in millionths.
+
+  limits @2 :List(TargetLimit);
 }
 
 struct TargetLoad {
@@ -70,3 +80,43 @@
   id @0 :UInt64;
   number @1 :UInt32;
 }
+
+struct TargetLimit {
+  target @0 :UInt32;
+  # Hash of the target's incarnation.
+
+  isLimited @1 :Bool;
+  perMillionS @2 :UInt64;
+  # Requests in a million seconds, if it is limited.
+
+  ageMs @3 :UInt32;
+  # Age of the answer that tells it.
+
+  roundTripMs @4 :UInt32;
+  # Time from the request to that answer.
+}
+
+struct PermitRequest {
+  limit @0 :TargetLimit;
+  # The limit as the caller knows it.
+
+  rank @1 :UInt8;
+  workspace @2 :Text;
+  weight @3 :UInt32;
+}
+
+struct PermitAnswer {
+  result @0 :Result;
+  waitMs @1 :UInt32;
+  # Time until there may be a permit, if there is none.
+
+  limit @2 :TargetLimit;
+  # The limit as the daemon knows it.
+
+  enum Result {
+    granted @0;
+    denied @1;
+    unlimited @2;
+    notAllocator @3;
+  }
+}
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use lapismoor_core::admission::target_limits::{PermitAnswer, PermitRequest, TargetLimit};
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations};
@@ -14,6 +15,7 @@
 use crate::MirrorAnswer;
 use crate::counted::{ByteCounter, CountedStream};
 use crate::items::{read_items, write_items};
+use crate::limits::{self, write_limits, write_request};
 use crate::mirror_capnp::{answer, store_mirror};
 use crate::observations::{read_sample, write_observations};
 
@@ -153,6 +155,30 @@
         let results = response.get().context(CallSnafu)?;
         read_sample(results.get_sample().context(CallSnafu)?).context(CallSnafu)
     }
+
+    /// Asks for a permit to send one request to a target with a limit.
+    ///
+    /// # Errors
+    /// [`MirrorError::Call`] if the call fails.
+    pub async fn take_permit(&self, request: &PermitRequest) -> Result<PermitAnswer, MirrorError> {
+        let mut call = self.mirror.take_permit_request();
+        write_request(request, call.get().init_request());
+        let response = call.send().promise.await.context(CallSnafu)?;
+        let results = response.get().context(CallSnafu)?;
+        limits::read_answer(results.get_answer().context(CallSnafu)?).context(CallSnafu)
+    }
+
+    /// Tells limits of targets that have changed.
+    ///
+    /// # Errors
+    /// [`MirrorError::Call`] if the call fails.
+    pub async fn tell_limits(&self, limits: &[TargetLimit]) -> Result<(), MirrorError> {
+        let mut call = self.mirror.tell_limits_request();
+        let count = u32::try_from(limits.len()).unwrap_or(u32::MAX);
+        write_limits(limits, call.get().init_limits(count));
+        call.send().promise.await.context(CallSnafu)?;
+        Ok(())
+    }
 }
 
 fn read_answer(answer: answer::Reader<'_>) -> Result<MirrorAnswer, MirrorError> {
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -1,9 +1,10 @@
 //! Client and server of the protocol between daemons: they read the key-value store through each
-//! other, and exchange what they observe of targets and requests.
+//! other, exchange what they observe of targets and requests, and ask each other for permits.
 
 mod client;
 mod counted;
 mod items;
+mod limits;
 mod observations;
 mod server;
 
--- a/crates/mirror/src/observations.rs
+++ b/crates/mirror/src/observations.rs
@@ -4,6 +4,7 @@
 
 use lapismoor_core::routing::{FleetSample, Observations, PartRequests, PartShare, TargetLoad};
 
+use crate::limits::{read_limits, write_limits};
 use crate::mirror_capnp::{fleet_sample, observations, part, service_parts, target_load};
 
 type Loads<'a> = capnp::struct_list::Reader<'a, target_load::Owned>;
@@ -17,6 +18,7 @@
     Ok(Observations {
         loads: read_loads(message.get_loads()?),
         requests: read_parts(message.get_requests()?, to_requests)?,
+        limits: read_limits(message.get_limits()?),
     })
 }
 
@@ -30,9 +32,15 @@
     );
     write_parts(
         &observations.requests,
-        message.init_requests(length(&observations.requests)),
+        message
+            .reborrow()
+            .init_requests(length(&observations.requests)),
         |one| (one.part, one.requests),
     );
+    write_limits(
+        &observations.limits,
+        message.init_limits(length(&observations.limits)),
+    );
 }
 
 pub(crate) fn read_sample(message: fleet_sample::Reader<'_>) -> capnp::Result<FleetSample> {
@@ -43,6 +51,7 @@
     Ok(FleetSample {
         loads: read_loads(message.get_loads()?),
         popular: read_parts(message.get_popular()?, to_share)?,
+        limits: read_limits(message.get_limits()?),
     })
 }
 
@@ -53,9 +62,10 @@
     );
     write_parts(
         &sample.popular,
-        message.init_popular(length(&sample.popular)),
+        message.reborrow().init_popular(length(&sample.popular)),
         |one| (one.part, one.millionths),
     );
+    write_limits(&sample.limits, message.init_limits(length(&sample.limits)));
 }
 
 fn read_loads(loads: Loads<'_>) -> Vec<TargetLoad> {
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -5,6 +5,7 @@
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::future::LocalBoxFuture;
+use lapismoor_core::admission::target_limits::{PermitAnswer, PermitRequest, TargetLimit};
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations};
@@ -14,6 +15,7 @@
 use crate::MirrorAnswer;
 use crate::counted::{ByteCounter, CountedStream};
 use crate::items::{read_items, write_items};
+use crate::limits::{self, read_limits, read_request};
 use crate::mirror_capnp::{answer, store_mirror};
 use crate::observations::{read_observations, write_sample};
 
@@ -34,6 +36,10 @@
     pub report: Rc<dyn Fn(Vec<StoreItem>)>,
     /// Merges observations of another daemon, and returns what this one learned in the given time.
     pub exchange: Rc<dyn Fn(Observations, Duration) -> FleetSample>,
+    /// Decides on a permit for a request of another daemon.
+    pub take_permit: Rc<dyn Fn(PermitRequest) -> PermitAnswer>,
+    /// Merges limits that another daemon learned.
+    pub tell_limits: Rc<dyn Fn(Vec<TargetLimit>)>,
 }
 
 /// Accepts connections from other daemons forever and adds the bytes exchanged to `counter`. Must
@@ -130,6 +136,26 @@
         write_sample(&sample, results.get().init_sample());
         Ok(())
     }
+
+    async fn take_permit(
+        self: Rc<Self>,
+        params: store_mirror::TakePermitParams,
+        mut results: store_mirror::TakePermitResults,
+    ) -> capnp::Result<()> {
+        let request = read_request(params.get()?.get_request()?)?;
+        let answer = (self.source.take_permit)(request);
+        limits::write_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn tell_limits(
+        self: Rc<Self>,
+        params: store_mirror::TellLimitsParams,
+        _: store_mirror::TellLimitsResults,
+    ) -> capnp::Result<()> {
+        (self.source.tell_limits)(read_limits(params.get()?.get_limits()?));
+        Ok(())
+    }
 }
 
 /// Longest list of reported records; a daemon reports one at a time.
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -6,6 +6,10 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
+use lapismoor_core::admission::Priority;
+use lapismoor_core::admission::target_limits::{
+    PermitAnswer, PermitRequest, PermitResult, RequestRate, TargetLimit,
+};
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations, PartRequests, PartShare, TargetLoad};
@@ -45,6 +49,41 @@
             assert_eq!(observations, self::observations());
             sample()
         }),
+        take_permit: Rc::new(|request| {
+            assert_eq!(request, permit_request());
+            permit_answer()
+        }),
+        tell_limits: Rc::new(|limits| assert_eq!(limits, self::limits())),
+    }
+}
+
+fn limits() -> Vec<TargetLimit> {
+    let limit = |target, rate: Option<f64>, age_ms| TargetLimit {
+        target,
+        rate: rate.and_then(RequestRate::from_per_s),
+        age: Duration::from_millis(age_ms),
+        round_trip: Duration::from_millis(31),
+    };
+    vec![limit(u32::MAX, Some(2.8), 0), limit(7, None, 65_600)]
+}
+
+fn permit_request() -> PermitRequest {
+    PermitRequest {
+        limit: limits()[0],
+        priority: Priority {
+            rank: 2,
+            workspace: "shops".into(),
+            weight: 3,
+        },
+    }
+}
+
+fn permit_answer() -> PermitAnswer {
+    PermitAnswer {
+        result: PermitResult::Denied {
+            wait: Duration::from_millis(1_400),
+        },
+        limit: limits()[1],
     }
 }
 
@@ -65,6 +104,7 @@
     Observations {
         loads: loads(),
         requests: vec![(1, vec![requests]), (2, Vec::new())],
+        limits: limits(),
     }
 }
 
@@ -76,6 +116,7 @@
     FleetSample {
         loads: loads(),
         popular: vec![(1, vec![share])],
+        limits: limits(),
     }
 }
 
@@ -168,3 +209,18 @@
     };
     LocalSet::new().run_until(exchange).await;
 }
+
+#[tokio::test]
+async fn permits_and_limits_arrive_unchanged() {
+    LocalSet::new()
+        .run_until(async {
+            let client = connected_client().await;
+            let answer = client.take_permit(&permit_request()).await;
+            assert_eq!(answer.expect("the call succeeds"), permit_answer());
+            client
+                .tell_limits(&limits())
+                .await
+                .expect("the call succeeds");
+        })
+        .await;
+}
--- a/crates/soak/src/compare/distributed.rs
+++ b/crates/soak/src/compare/distributed.rs
@@ -218,6 +218,8 @@
             tried: &[],
             may_repeat_target: false,
             preference: profile_route::preference(profile, &self.service),
+            priority: &Priority::default(),
+            permits_denied: 0,
         };
         let daemon = &mut self.daemons[daemon_index];
         let choice = daemon.chooser.choose(now, &daemon.directory, &query).ok()?;
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use compact_str::format_compact;
 use lapismoor_core::Moment;
+use lapismoor_core::admission::Priority;
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::{
     DaemonRecord, Directory, Mirror, Sources, StoreItem, TargetEntry, TargetState,
@@ -109,6 +110,8 @@
             tried: &[],
             may_repeat_target: false,
             preference: AffinityPreference::default(),
+            priority: &Priority::default(),
+            permits_denied: 0,
         };
         black_box(chooser.choose(Duration::from_millis(round.into()), &directory, &demand)).ok();
     });
