Try urgent requests first, and fairly between workspaces, while all targets have limits

Shares of the permits of one target bound nothing within seconds, as each of thirty classes first used up what it had saved; and each request found room at some target if it asked for long enough.

The allocators keep accounts by rank, and by workspace within it. A daemon tries only those requests that it can get served, by the same shares, and refuses the others before they ask; what a request waits for is one time until room that is expected. A workspace's rank goes before that of the route.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -22,7 +22,7 @@
     Verdict,
 };
 pub use target_limits::{
-    Allocators, LimitChange, LimitNotice, LimitView, PermitDecision, Rates, RequestRate,
+    Allocators, LimitChange, LimitNotice, LimitView, Overloads, PermitDecision, Rates, RequestRate,
     ReturnSchedule,
 };
 pub use workspaces::Workspaces;
--- a/crates/core/src/admission/target_limits/allocator.rs
+++ b/crates/core/src/admission/target_limits/allocator.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::notice::RequestRate;
-use super::share::{ClassDemand, divide};
+use super::share::ShareBook;
 use crate::admission::Priority;
 use crate::clock::Moment;
 use crate::ids::hash_parts;
@@ -25,16 +25,8 @@
 /// Requests that a target gets from time to time whatever it names: only an answer tells whether
 /// the limit has ended.
 const MIN_PER_S: f64 = 0.2;
-/// Time constant of the exponential decay of the demand.
-const DEMAND_DECAY: Duration = Duration::from_secs(2);
-/// Demand, as a part of the rate, from which on classes are held to their shares.
-const CONTENDED_FRACTION: f64 = 0.9;
-/// Time for which a class may save up its share.
-const SAVING_TIME: Duration = Duration::from_secs(1);
 /// Longest wait that is promised.
 const MAX_WAIT: Duration = Duration::from_secs(10);
-/// Demand below which a class is forgotten, in requests per second.
-const MIN_DEMAND_PER_S: f64 = 0.01;
 /// Time without a request after which a target's allocator is forgotten.
 const IDLE_TIME: Duration = Duration::from_mins(1);
 
@@ -145,22 +137,13 @@
     }
 }
 
-/// Permits of one rank and workspace.
-#[derive(Debug, Clone)]
-struct ClassCredit {
-    /// Share of the class that was not used, in permits.
-    saved: f64,
-}
-
 /// Token bucket of one target.
 #[derive(Debug, Clone)]
 struct Allocator {
     /// Permits that may be handed out. Begins at zero: a predecessor may just have used its own.
     tokens: f64,
     updated_at: Moment,
-    /// Invariant: sorted by rank and workspace; as long as `credits`.
-    demands: Vec<ClassDemand>,
-    credits: Vec<ClassCredit>,
+    shares: ShareBook,
 }
 
 impl Allocator {
@@ -168,68 +151,25 @@
         Self {
             tokens: 0.0,
             updated_at: now,
-            demands: Vec::new(),
-            credits: Vec::new(),
+            shares: ShareBook::default(),
         }
     }
 
     fn take(&mut self, now: Moment, rates: Rates, priority: &Priority) -> PermitDecision {
-        self.update(now, rates);
-        let class = self.class(priority);
-        self.demands[class].per_s += 1.0 / DEMAND_DECAY.as_secs_f64();
-        let shares = divide(rates.part_per_s, &self.demands);
-        let demand_per_s: f64 = self.demands.iter().map(|class| class.per_s).sum();
-        let is_contended = demand_per_s > CONTENDED_FRACTION * rates.part_per_s;
+        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+        self.tokens = (self.tokens + elapsed_s * rates.part_per_s).min(rates.burst());
+        let turn = self.shares.ask(now, rates.part_per_s, priority);
         let is_unused = self.tokens >= rates.burst();
-        let has_share = !is_contended || is_unused || self.credits[class].saved >= 1.0;
-        if self.tokens >= 1.0 && has_share {
+        if self.tokens >= 1.0 && (turn.is_due || is_unused) {
             self.tokens -= 1.0;
-            let credit = &mut self.credits[class];
-            credit.saved = (credit.saved - 1.0).max(0.0);
+            self.shares.take(priority);
             return PermitDecision::Granted;
         }
         let until_token_s = (1.0 - self.tokens).max(0.0) / rates.part_per_s;
-        let until_share_s = if has_share {
-            0.0
-        } else {
-            (1.0 - self.credits[class].saved) / shares[class].max(f64::MIN_POSITIVE)
-        };
-        let wait_s = until_token_s.max(until_share_s);
+        let wait_s = until_token_s.max(turn.due_in_s);
         PermitDecision::Denied {
             wait: Duration::from_secs_f64(wait_s.min(MAX_WAIT.as_secs_f64())),
         }
     }
-
-    /// Adds what has accrued since the last call.
-    fn update(&mut self, now: Moment, rates: Rates) {
-        let elapsed = now.saturating_sub(self.updated_at);
-        self.updated_at = self.updated_at.max(now);
-        let elapsed_s = elapsed.as_secs_f64();
-        self.tokens = (self.tokens + elapsed_s * rates.part_per_s).min(rates.burst());
-        let shares = divide(rates.part_per_s, &self.demands);
-        for (credit, share_per_s) in self.credits.iter_mut().zip(shares) {
-            let most = 1.0 + share_per_s * SAVING_TIME.as_secs_f64();
-            credit.saved = (credit.saved + share_per_s * elapsed_s).min(most);
-        }
-        let decay = (-elapsed_s / DEMAND_DECAY.as_secs_f64()).exp();
-        for demand in &mut self.demands {
-            demand.per_s *= decay;
-        }
-        let mut kept = self.demands.iter().map(|one| one.per_s >= MIN_DEMAND_PER_S);
-        self.credits.retain(|_| kept.next().unwrap_or_default());
-        self.demands.retain(|one| one.per_s >= MIN_DEMAND_PER_S);
-    }
-
-    /// Position of the class of a request.
-    fn class(&mut self, priority: &Priority) -> usize {
-        let found = self.demands.binary_search_by(|class| {
-            let key = (class.rank, &class.workspace);
-            key.cmp(&(priority.rank, &priority.workspace))
-        });
-        found.unwrap_or_else(|position| {
-            self.demands.insert(position, ClassDemand::new(priority));
-            self.credits.insert(position, ClassCredit { saved: 1.0 });
-            position
-        })
-    }
 }
--- a/crates/core/src/admission/target_limits/mod.rs
+++ b/crates/core/src/admission/target_limits/mod.rs
@@ -12,6 +12,7 @@
 mod allocator;
 mod messages;
 mod notice;
+mod overload;
 mod returns;
 mod share;
 mod view;
@@ -21,5 +22,6 @@
 };
 pub use messages::{PermitAnswer, PermitRequest, PermitResult, TargetLimit};
 pub use notice::{LimitChange, LimitNotice, RequestRate};
+pub use overload::Overloads;
 pub use returns::ReturnSchedule;
 pub use view::LimitView;
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,7 +8,7 @@
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
-    Allocators, Evidence, LimitNotice, ReturnSchedule, StopPlan, Suspects, Workspaces,
+    Allocators, Evidence, LimitNotice, Overloads, ReturnSchedule, StopPlan, Suspects, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey};
@@ -112,6 +112,8 @@
     pub directory: Directory,
     /// This daemon's part of the permits for targets with a limit.
     pub allocators: Allocators,
+    /// Services whose targets take fewer requests than they get.
+    pub overloads: Overloads,
     /// Times at which callers return that were refused for limits.
     pub returns: ReturnSchedule,
     /// Targets at which requests were given up.
@@ -177,6 +179,7 @@
             suspects: Suspects::new(incarnation),
             directory: Directory::default(),
             allocators: Allocators::default(),
+            overloads: Overloads::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
             mirror: Mirror::default(),
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -364,9 +364,10 @@
 
 impl LimitReport {
     /// Logs that a target had no room for a request, and what follows.
-    pub(crate) fn log(&self, request: &str, next: &str) {
+    pub(crate) fn log(&self, request: &str, rank: u8, next: &str) {
         log::info!(
             request,
+            rank,
             target:% = self.target,
             limit_per_s = self.limit_per_s,
             share_per_s = self.share_per_s,
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -441,6 +441,7 @@
         config_version = job.request.config_version,
         waited_ms = millis(job.queue_wait),
         config_age_ms = job.edge.config_age().map(millis),
+        rank = job.permit_priority.rank,
         reason:? = choice.reason,
         load = choice.load,
         bound = choice.bound,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -7,7 +7,7 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
-use lapismoor_core::admission::{Belief, Refusal, SuspectKind};
+use lapismoor_core::admission::{Belief, Priority, Refusal, SuspectKind};
 use lapismoor_core::ids::{Fingerprint, ServiceId, TargetKey, hash_parts};
 use lapismoor_core::membership::TargetIncarnation;
 use lapismoor_core::retry::{
@@ -32,6 +32,10 @@
 /// Least time before the deadline with which another target can be expected to answer instead of
 /// one that has the request.
 const MIN_REPLACEMENT_TIME: Duration = Duration::from_secs(1);
+/// Number of permits after which a request asks for none.
+const ASKS_NO_PERMIT: usize = usize::MAX;
+/// Time until a request may find room that was not tried in favour of others.
+const OVERLOAD_WAIT: Duration = Duration::from_millis(500);
 /// Time between two looks for a target while there is none.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -77,6 +81,8 @@
     pub may_repeat_target: Cell<bool>,
     /// Counts of the attempts that have ended.
     pub progress: Cell<AttemptCounts>,
+    /// Decides which requests get permits for targets with limits.
+    pub permit_priority: Priority,
     /// Hash of workspace, method, path and body; identifies requests that crash targets.
     pub fingerprint: Fingerprint,
     /// What may crash targets: the content, then the shared parts of the prompt.
@@ -117,6 +123,7 @@
             declined: RefCell::default(),
             may_repeat_target: Cell::new(false),
             progress: Cell::default(),
+            permit_priority: permit_priority(&request),
             subjects: subjects(&request, fingerprint),
             suspect: Cell::new(None),
             fingerprint,
@@ -159,6 +166,34 @@
         self.deadline.saturating_sub(self.edge.now())
     }
 
+    /// Whether the request is tried while the targets of its service take fewer than it gets.
+    pub(crate) fn is_admitted_in_overload(&self) -> bool {
+        let now = self.edge.now();
+        let service = &self.request.service;
+        let overloads = &mut self.edge.state.borrow_mut().overloads;
+        overloads.admit(now, service, &self.permit_priority)
+    }
+
+    /// Why the request is not tried: the target that would have room first.
+    pub(crate) fn reason_for_overload(&self) -> NoTarget {
+        let reason = match self.choose(&[], false, ASKS_NO_PERMIT) {
+            Ok(choice) => choice.limited.map(|target| (target, OVERLOAD_WAIT)),
+            Err(NoTarget::Limited { left, target }) => Some((target, left)),
+            Err(_) => None,
+        };
+        let Some((target, left)) = reason else {
+            return NoTarget::NoneReachable;
+        };
+        report::limit_reached(self, target, "refused");
+        NoTarget::Limited { left, target }
+    }
+
+    fn record_room(&self, has_found_room: bool) {
+        let now = self.edge.now();
+        let overloads = &mut self.edge.state.borrow_mut().overloads;
+        overloads.record(now, &self.request.service, has_found_room);
+    }
+
     /// Chooses the target of the next attempt and takes a permit for it, if it has a limit. Waits
     /// until `give_up_at` at most while all targets have reached their limits.
     ///
@@ -166,6 +201,7 @@
     /// [`NoTarget`] if no target can get the request.
     pub(crate) async fn choose_target(&self, give_up_at: Moment) -> Result<Choice, NoTarget> {
         let mut permits_denied = 0;
+        let mut has_waited = false;
         loop {
             let chosen = self.choose(
                 &self.tried.borrow(),
@@ -174,6 +210,7 @@
             );
             let reason = match chosen {
                 Ok(choice) if self.take_permit(&choice).await => {
+                    self.record_room(true);
                     if let Some(limited) = choice.limited {
                         report::limit_reached(self, limited, "sent_elsewhere");
                     }
@@ -188,11 +225,13 @@
             let NoTarget::Limited { left, target } = reason else {
                 return Err(reason);
             };
-            if self.edge.now() + left > give_up_at {
+            if has_waited || self.edge.now() + left > give_up_at {
+                self.record_room(false);
                 report::limit_reached(self, target, "refused");
                 return Err(reason);
             }
             tokio::time::sleep(left).await;
+            has_waited = true;
             permits_denied = 1;
         }
     }
@@ -207,7 +246,7 @@
 
     /// Takes a permit to send the request to the target of `choice`. Returns whether there was one.
     pub(crate) async fn take_permit(&self, choice: &Choice) -> bool {
-        let priority = &self.request.priority;
+        let priority = &self.permit_priority;
         self.edge.take_permit(choice.target, priority).await
     }
 
@@ -232,7 +271,7 @@
             tried,
             may_repeat_target,
             preference: self.request.preference.clone(),
-            priority: &self.request.priority,
+            priority: &self.permit_priority,
             permits_denied,
         };
         let mut state = self.edge.state.borrow_mut();
@@ -407,6 +446,20 @@
     ])
 }
 
+/// Ranks that a route can have among requests with the same rank.
+const RANKS_WITHIN_RANK: u8 = 16;
+
+/// A workspace's rank goes before that of the route, which decides between requests with the same
+/// one.
+fn permit_priority(request: &AdmittedRequest) -> Priority {
+    let rank = request.priority.rank.saturating_mul(RANKS_WITHIN_RANK);
+    let rank_of_route = request.route.rank.min(RANKS_WITHIN_RANK - 1);
+    Priority {
+        rank: rank.saturating_add(rank_of_route),
+        ..request.priority.clone()
+    }
+}
+
 fn subjects(request: &AdmittedRequest, fingerprint: Fingerprint) -> Vec<Subject> {
     let content = Subject {
         fingerprint,
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -29,12 +29,13 @@
 pub(crate) fn limit_reached(job: &Job, target: TargetKey, next: &'static str) {
     job.is_limited.set(true);
     let edge = &job.edge;
-    let Some(report) = edge.limit_report(target, &job.request.priority) else {
+    let Some(report) = edge.limit_report(target, &job.permit_priority) else {
         return;
     };
     edge.metrics
         .record_limited(&report.target, report.limit_per_s, report.share_per_s, next);
-    report.log(&job.request.envelope.id, next);
+    let request = &job.request;
+    report.log(&request.envelope.id, job.permit_priority.rank, next);
 }
 
 /// The interruptions of a subject with one of these judgements, each as target and witness.
