--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -32,6 +32,8 @@
         silences: bool,
         /// Add requests that share a prompt part that ends engines, no two alike
         parts: bool,
+        /// Add limits: engines name how many requests they take
+        limits: bool,
         /// Directory for logs and records; kept only for failing seeds
         #[bpaf(argument("DIR"))]
         directory: Option<PathBuf>,
@@ -77,11 +79,13 @@
             engines,
             silences,
             parts,
+            limits,
             directory,
         } => {
             let additions = Additions {
                 has_silences: silences,
                 has_crashing_part: parts,
+                has_limits: limits,
             };
             let counts = ProcessCounts {
                 daemons,
--- a/crates/soak/src/processes/injector.rs
+++ b/crates/soak/src/processes/injector.rs
@@ -66,6 +66,13 @@
             };
             try_set_faults(fleet.engines[engine].address, &faults).await;
         }
+        Fault::LimitedEngines { engines, per_s } => {
+            let faults = Faults {
+                limit_per_s: Some(per_s),
+                ..Faults::default()
+            };
+            set_faults_of(fleet, engines, &faults).await;
+        }
         Fault::StoreDown | Fault::StoreSlow | Fault::StoreLosesAnswers => {
             let faults = Faults {
                 down: step.fault == Fault::StoreDown,
@@ -140,6 +147,9 @@
         Fault::DrainEngine(engine) | Fault::SilentStreams(engine) => {
             try_set_faults(fleet.engines[engine].address, &Faults::default()).await;
         }
+        Fault::LimitedEngines { engines, .. } => {
+            set_faults_of(fleet, engines, &Faults::default()).await;
+        }
         Fault::StoreDown | Fault::StoreSlow | Fault::StoreLosesAnswers => {
             try_set_faults(fleet.key_value_address, &Faults::default()).await;
         }
@@ -226,6 +236,12 @@
     Ok(())
 }
 
+async fn set_faults_of(fleet: &Fleet, engines: TargetRange, faults: &Faults) {
+    for engine in engines.indices(fleet.engines.len()) {
+        try_set_faults(fleet.engines[engine].address, faults).await;
+    }
+}
+
 /// Sets the faults of a stand-in and only logs a failure: a killed or suspended process does not
 /// answer, but it restarts without faults or has them reset later.
 async fn try_set_faults(address: std::net::SocketAddr, faults: &Faults) {
--- a/crates/soak/src/processes/plan.rs
+++ b/crates/soak/src/processes/plan.rs
@@ -26,6 +26,14 @@
 const SILENCE_FAULT_COUNT: std::ops::RangeInclusive<usize> = 1..=3;
 /// Stream of the generator that requests with a crashing prompt part are drawn from.
 const CRASHING_PART_STREAM: u64 = 2;
+/// Stream of the generator that limits of engines are drawn from.
+const LIMIT_STREAM: u64 = 3;
+/// Number of limit faults in a run.
+const LIMIT_FAULT_COUNT: std::ops::RangeInclusive<usize> = 1..=3;
+/// Duration of a limit; the users count from the third second on.
+const LIMIT_DURATION_MS: std::ops::RangeInclusive<u64> = 5_000..=10_000;
+/// Requests per second that an engine names.
+const LIMITS_PER_S: std::ops::RangeInclusive<u32> = 0..=4;
 /// Number of silences in one such fault.
 const SILENCE_COUNT: std::ops::RangeInclusive<usize> = 2..=4;
 /// Duration of a silence: the users' sound servers may be silent "for a second or so".
@@ -69,6 +77,13 @@
         /// The targets of a plain service.
         services: TargetRange,
     },
+    /// Engines name a limit in their answers.
+    LimitedEngines {
+        /// The engines.
+        engines: TargetRange,
+        /// Requests per second that each of them takes.
+        per_s: u32,
+    },
     /// The store fails all calls before they have an effect.
     StoreDown,
     /// The store delays all calls.
@@ -209,6 +224,25 @@
         self
     }
 
+    /// Adds limits of engines, which leave the other faults of the seed as they are.
+    #[must_use]
+    pub fn with_limits(mut self, seed: u64, counts: &ProcessCounts) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(LIMIT_STREAM);
+        for _ in 0..rng.random_range(LIMIT_FAULT_COUNT) {
+            self.steps.push(FaultStep {
+                at: FAULT_PERIOD.mul_f64(rng.random()),
+                duration: Duration::from_millis(rng.random_range(LIMIT_DURATION_MS)),
+                fault: Fault::LimitedEngines {
+                    engines: TargetRange::random(&mut rng, counts.engines),
+                    per_s: rng.random_range(LIMITS_PER_S),
+                },
+            });
+        }
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// Draws silences of engines and service targets throughout `period`, as the only faults. With
     /// `has_changes`, the configuration is changed meanwhile.
     #[must_use]
--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -50,6 +50,8 @@
     pub has_silences: bool,
     /// Requests that share a prompt part that ends engines.
     pub has_crashing_part: bool,
+    /// Engines that name limits.
+    pub has_limits: bool,
 }
 
 /// Result of a run.
@@ -95,6 +97,9 @@
     if additions.has_crashing_part {
         plan = plan.with_crashing_part(seed, &counts);
     }
+    if additions.has_limits {
+        plan = plan.with_limits(seed, &counts);
+    }
     let balancer = Balancer::new(fleet.caller_addresses());
     let run_start_unix_ms = unix_now_ms();
     let load = LoadGenerator::start(&load_plan(config, &fleet_size, seed), &balancer);
--- a/crates/soak/src/processes/verify.rs
+++ b/crates/soak/src/processes/verify.rs
@@ -8,11 +8,15 @@
 use demo::fleet::Fleet;
 use demo::load::LoadReports;
 
+use lapismoor_core::admission::target_limits::LIMIT_WINDOW;
+
 use super::plan::{Fault, FaultStep};
 use super::proxy::Proxies;
 
 /// Time after the start of a drain by which daemons must stop sending requests to the target.
 const DRAIN_WITHIN: Duration = Duration::from_secs(5);
+/// Time after an engine first named a limit from which on the users count its requests.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time after another fault within which a daemon may still miss the start of a drain.
 const PRIOR_FAULT_MARGIN: Duration = Duration::from_secs(3);
 
@@ -52,9 +56,43 @@
             violations.extend(late_requests(fleet, engine, step, run_start_unix_ms)?);
         }
     }
+    violations.extend(exceeded_limits(fleet)?);
     Ok(violations)
 }
 
+/// Describes each engine that got more requests than the users allow while it named a limit, from
+/// [`CONTACT_TIME`] after it first did.
+fn exceeded_limits(fleet: &Fleet) -> io::Result<Vec<String>> {
+    let mut exceeded = Vec::new();
+    for target in &fleet.engines {
+        let records = TargetRecords::read(&target.name, &target.records_path, None)?;
+        let begins = records.records.iter().filter(|one| one.what == "begin");
+        let begins: Vec<(u64, Option<u32>)> =
+            begins.map(|one| (one.time_ms, one.limit_per_s)).collect();
+        for limited in begins.chunk_by(|left, right| left.1 == right.1) {
+            let Some(per_s) = limited[0].1 else {
+                continue;
+            };
+            let from_ms = limited[0].0 + millis(CONTACT_TIME);
+            let times = limited.iter().map(|(time_ms, _)| *time_ms);
+            let times: Vec<u64> = times.filter(|time_ms| *time_ms >= from_ms).collect();
+            let in_window = |last: &u64| {
+                let is_within = |at: &&u64| **at <= *last && **at + millis(LIMIT_WINDOW) > *last;
+                times.iter().filter(is_within).count()
+            };
+            let most = times.iter().map(in_window).max().unwrap_or_default();
+            let allowed = usize::try_from(per_s * 6 + 5).unwrap_or(usize::MAX);
+            if most > allowed {
+                exceeded.push(format!(
+                    "{} named a limit of {per_s} requests/s and got {most} in {LIMIT_WINDOW:?}, {allowed} allowed",
+                    target.name
+                ));
+            }
+        }
+    }
+    Ok(exceeded)
+}
+
 /// Describes each attempt that got no response although the proxy on its way to the daemon lost
 /// nothing meanwhile. Every attempt must get one, or the end of its connection, within the timeout of
 /// its caller, whatever happens behind the daemon.
--- a/crates/soak/tests/processes.rs
+++ b/crates/soak/tests/processes.rs
@@ -16,11 +16,19 @@
 const PART: Additions = Additions {
     has_silences: false,
     has_crashing_part: true,
+    has_limits: false,
+};
+
+const LIMITS: Additions = Additions {
+    has_silences: false,
+    has_crashing_part: false,
+    has_limits: true,
 };
 
 #[test_case(1, Additions::default())]
 #[test_case(2, Additions::default())]
 #[test_case(3, PART; "3 with a crashing prompt part")]
+#[test_case(4, LIMITS; "4 with engines that name limits")]
 fn guarantees_hold_under_faults(seed: u64, additions: Additions) {
     let name = format!("lapismoor-soak-test-{}-{seed}", std::process::id());
     let directory: PathBuf = std::env::temp_dir().join(name);
@@ -78,3 +86,14 @@
     actual.sharing_part.clear();
     assert_eq!(actual, without);
 }
+
+/// Limits that are added must not change which other faults a seed injects, or when.
+#[test]
+fn added_limits_leave_other_faults_of_a_seed_as_they_are() {
+    let is_limit = |step: &FaultStep| matches!(step.fault, Fault::LimitedEngines { .. });
+    let without = FaultPlan::new(7, &COUNTS, 11);
+    let mut actual = without.clone().with_limits(7, &COUNTS);
+    let limits = actual.steps.extract_if(.., |step| is_limit(step)).count();
+    assert!(limits >= 1);
+    assert_eq!(actual, without);
+}
