Bound the calls for permits in a large fleet, and measure them

While all targets have limits, a daemon of a fleet of 400 made 76 calls for permits a second and the busiest one answered 1,890, 4.7 more with each daemon (soak slopes): 32 daemons handed out all permits, and each request asked up to twelve times.

With equal bound, the test of the use plays 120 s instead of 20: at one request a second these are 20 permits.

--- a/crates/core/src/admission/target_limits/allocator.rs
+++ b/crates/core/src/admission/target_limits/allocator.rs
@@ -7,7 +7,7 @@
 use crate::admission::Priority;
 use crate::clock::Moment;
 use crate::ids::hash_parts;
-use crate::membership::DaemonRecord;
+use crate::membership::{DaemonRecord, is_small_fleet};
 use crate::routing::fleet_sample::TargetHash;
 use crate::routing::rendezvous::rendezvous_order;
 
@@ -19,7 +19,7 @@
 /// themselves for one of the two together keep one and a half times the limit.
 const USED_FRACTION: f64 = 0.9;
 /// Groups of targets with the same allocators, which bounds the connections between daemons.
-const TARGET_GROUPS: u32 = 16;
+const TARGET_GROUPS: u32 = 128;
 /// Rendezvous hash key for the selection of allocators.
 const ALLOCATOR_KEY: u64 = 0x5065_726d;
 /// Requests that a target gets from time to time whatever it names: only an answer tells whether
@@ -74,6 +74,17 @@
     daemons.is_empty() || ranked(target, daemons).any(|daemon| daemon.id == own)
 }
 
+/// Number of daemons to ask for one permit, apart from those that don't answer. In a large fleet
+/// half of the daemons ask each one, so that a second call would find no more on average.
+#[must_use]
+pub fn asks_per_permit(daemons: &[DaemonRecord]) -> usize {
+    if is_small_fleet(daemons) {
+        ALLOCATORS_PER_TARGET
+    } else {
+        1
+    }
+}
+
 /// Daemons to ask for a permit, in this order: `own` if it is one of them. The others are asked
 /// first by half of the daemons each.
 #[must_use]
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -27,7 +27,7 @@
 const DOMAIN_COST_REQUESTS: f64 = 1.0;
 /// Permits that a request asks for before it goes to a target without a limit, or to none. Each one
 /// takes a call to another daemon.
-const MAX_PERMITS_DENIED: usize = 6;
+const MAX_PERMITS_DENIED: usize = 4;
 /// Part of the slots of a target without a limit that requests may use while other targets have
 /// limits.
 const OVERFLOW_FRACTION: f64 = 0.75;
--- a/crates/core/tests/target_limits.rs
+++ b/crates/core/tests/target_limits.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
-use lapismoor_core::admission::target_limits::{LIMIT_WINDOW, is_allocator, permit_sources};
+use lapismoor_core::admission::target_limits::{
+    LIMIT_WINDOW, asks_per_permit, is_allocator, permit_sources,
+};
 use lapismoor_core::admission::{
     Allocators, LimitNotice, LimitView, Overloads, PermitDecision, Priority, Rates, RequestRate,
     ReturnSchedule,
@@ -89,11 +91,15 @@
             .iter()
             .map(|source| Self::number(&source.id))
             .collect();
-        sources.into_iter().any(|source| {
-            let is_reached = source == asking
-                || now >= self.away_until[source] && now >= self.away_until[asking];
-            is_reached && self.take_at(now, source, per_s, priority)
-        })
+        let is_reached = |source: &usize| {
+            let is_away = |daemon: usize| now < self.away_until[daemon];
+            *source == asking || !is_away(*source) && !is_away(asking)
+        };
+        let asks = asks_per_permit(&self.lists[asking]);
+        let reached: Vec<usize> = sources.into_iter().filter(is_reached).take(asks).collect();
+        reached
+            .into_iter()
+            .any(|source| self.take_at(now, source, per_s, priority))
     }
 
     fn take_at(&mut self, now: Moment, source: usize, per_s: f64, priority: &Priority) -> bool {
@@ -156,12 +162,25 @@
     f64::from(u32::try_from(number).expect("small"))
 }
 
-/// Plays twenty seconds of requests that reach any daemon, `per_s` of them, of three ranks and four
-/// workspaces. Returns the times of the permits.
+/// Time that is played if nothing rare is to be measured.
+const LENGTH: Duration = Duration::from_secs(20);
+
+/// Plays requests that reach any daemon, `per_s` of them, of three ranks and four workspaces. Returns
+/// the times of the permits.
 fn play(fleet: &mut Fleet, limit_per_s: f64, per_s: f64, trouble: Trouble) -> Vec<Moment> {
+    play_for(LENGTH, fleet, limit_per_s, per_s, trouble)
+}
+
+fn play_for(
+    length: Duration,
+    fleet: &mut Fleet,
+    limit_per_s: f64,
+    per_s: f64,
+    trouble: Trouble,
+) -> Vec<Moment> {
     let mut permits = Vec::new();
     let mut now = Moment::ZERO;
-    while now < Duration::from_secs(20) {
+    while now < length {
         if fleet.rng.random_bool(0.02) {
             fleet.disturb(now, trouble);
         }
@@ -214,10 +233,12 @@
 #[test_case(195)]
 #[test_case(400)]
 fn most_of_a_limit_is_used_if_more_is_asked_for(daemons: usize) {
+    let length = Duration::from_secs(120);
     for limit_per_s in [1.0, 3.0, 10.0, 50.0] {
         let mut fleet = Fleet::new(daemons, 1);
-        let permits = play(&mut fleet, limit_per_s, 2.0 * limit_per_s, Trouble::None);
-        let used = count(permits.len()) / (20.0 * limit_per_s);
+        let demand_per_s = 2.0 * limit_per_s;
+        let permits = play_for(length, &mut fleet, limit_per_s, demand_per_s, Trouble::None);
+        let used = count(permits.len()) / (length.as_secs_f64() * limit_per_s);
         assert!(
             used >= 0.6,
             "{daemons} daemons, {limit_per_s} a second: {used}"
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -7,7 +7,8 @@
 use actix_web::rt;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::target_limits::{
-    PermitAnswer, PermitRequest, PermitResult, TargetLimit, is_allocator, permit_sources,
+    PermitAnswer, PermitRequest, PermitResult, TargetLimit, asks_per_permit, is_allocator,
+    permit_sources,
 };
 use lapismoor_core::admission::{LimitChange, PermitDecision, Priority, Rates, RequestRate};
 use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
@@ -104,7 +105,11 @@
             return true;
         };
         let mut wait = None;
+        let mut asks_left = asks_per_permit(&self.state.borrow().daemons);
         for source in sources {
+            if asks_left == 0 {
+                break;
+            }
             let Some(request) = self.permit_request(target, priority) else {
                 return true;
             };
@@ -121,6 +126,7 @@
                 PermitResult::Unlimited => return true,
                 PermitResult::Denied { wait: this } => {
                     wait = Some(wait.map_or(this, |other: Duration| other.min(this)));
+                    asks_left -= 1;
                 }
                 PermitResult::NotAllocator => {}
             }
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -1,5 +1,7 @@
 //! Measures the cost of decisions as their tables grow; `docs/CAPACITY.md` uses the slopes.
 
+mod permits;
+
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
@@ -68,6 +70,14 @@
     let target_choices = [10, 25, 50, 150, 600].map(measure_target_choice);
     let source_choices = [7, 30, 90, 400].map(measure_source_choice);
     let full_lists = [100, 600, 3_000].map(measure_full_list);
+    let permit_costs = [6, 12, 85, 195, 400].map(|daemons| (daemons, permits::measure(daemons)));
+    let permit_series = |value: fn(&permits::PermitCost) -> f64| {
+        let points = permit_costs.iter().map(|(daemons, cost)| Point {
+            size: f64::from(*daemons),
+            value: value(cost),
+        });
+        points.collect::<Vec<Point>>()
+    };
     [
         format_series(
             "target choice for a chat, by engines",
@@ -76,6 +86,26 @@
         ),
         format_series("mirror source choice, by daemons", "us", &source_choices),
         format_series("applying a full list, by targets", "ms", &full_lists),
+        format_series(
+            "calls for permits by a daemon while all targets have limits, by daemons",
+            "calls/s",
+            &permit_series(|cost| cost.calls_per_s),
+        ),
+        format_series(
+            "calls for permits that the busiest daemon answers, by daemons",
+            "calls/s",
+            &permit_series(|cost| cost.most_answered_per_s),
+        ),
+        format_series(
+            "daemons that a daemon asks for permits, by daemons",
+            "daemons",
+            &permit_series(|cost| cost.peers),
+        ),
+        format_series(
+            "part of the limits that is used, by daemons",
+            "of 1",
+            &permit_series(|cost| cost.used),
+        ),
     ]
     .concat()
 }
@@ -121,8 +151,8 @@
     }
 }
 
-fn measure_source_choice(daemons: u16) -> Point {
-    let record = |number: u16| DaemonRecord {
+fn daemon_record(number: u16) -> DaemonRecord {
+    DaemonRecord {
         id: format_compact!("entry-{number}"),
         domain: format_compact!("domain-{}", number % 5),
         incarnation: 1,
@@ -130,8 +160,11 @@
         caller_address: None,
         operator_address: None,
         link_mbps: 10,
-    };
-    let daemon_records: Vec<DaemonRecord> = (0..daemons).map(record).collect();
+    }
+}
+
+fn measure_source_choice(daemons: u16) -> Point {
+    let daemon_records: Vec<DaemonRecord> = (0..daemons).map(daemon_record).collect();
     let mut sources = Sources::new("entry-0".into(), "domain-0".into());
     let mean = mean_time(|_| {
         black_box(sources.choose(Moment::ZERO, &daemon_records));
