--- a/crates/edge/tests/history.rs
+++ b/crates/edge/tests/history.rs
@@ -26,6 +26,11 @@
   3.0 edge-2 {"daemon":"edge-2","event":"crash_refuted","fingerprint":"00c0","crashes":1,"target":"i-7","time_ms":1600}
   3.1 edge-1 {"daemon":"edge-1","event":"refused_as_suspect","request":"r-same","fingerprint":"00c0","time_ms":30000}
   3.1 edge-1 {"daemon":"edge-1","event":"refused","request":"r-same","reason":"crashes_targets","time_ms":30001}
+  3.2 edge-1 {"daemon":"edge-1","event":"target_limit_changed","target":"i-5","limit_per_s":2.5,"before_per_s":null,"source":"i-5","time_ms":31000}
+  3.2 edge-1 {"daemon":"edge-1","event":"limit_reached","request":"r-limit","target":"i-5","limit_per_s":2.5,"share_per_s":0.5,"limit_age_ms":40,"next":"refused","time_ms":31040}
+  3.2 edge-1 {"daemon":"edge-1","event":"refused","request":"r-limit","reason":"targets_limited","come_back_ms":700,"time_ms":31040}
+  3.2 edge-1 {"daemon":"edge-1","event":"limit_reached","request":"r-moved","target":"i-5","limit_per_s":2.5,"share_per_s":0.5,"limit_age_ms":60,"next":"sent_elsewhere","time_ms":31060}
+  3.2 edge-1 {"daemon":"edge-1","event":"served","request":"r-moved","target":"i-6","time_ms":31090}
 not a line of a daemon
 "#;
 
@@ -41,6 +46,8 @@
 #[test_case("r-ok", "served", "served")]
 #[test_case("r-gone", "caller_left", "caller_left")]
 #[test_case("r-exit", "cut_off_by_exit", "cut_off_by_exit")]
+#[test_case("r-limit", "refused", "targets_limited")]
+#[test_case("r-moved", "served", "served")]
 #[test_case("7a8e", "refused", "workspace_limit"; "the trace id finds a request logged under trace and span")]
 fn outcome_and_cause_match_the_last_lines(request: &str, outcome: &str, name: &str) {
     let actual = history(request).expect("the request has lines").cause;
@@ -88,6 +95,23 @@
     );
 }
 
+/// A request that is refused or sent elsewhere for a limit shows the target, the limit, the daemon's
+/// share and its age, and since when the limit is known.
+#[test_case("r-limit", "refused")]
+#[test_case("r-moved", "sent_elsewhere")]
+fn history_shows_the_limit_for_which_a_target_got_no_request(request: &str, next: &str) {
+    let history = history(request).expect("the request has lines");
+    let reached = &history.steps[0];
+    assert_eq!(reached.event, "limit_reached");
+    let actual = ["target", "next"].map(|field| reached.text(field));
+    assert_eq!(actual, [Some("i-5"), Some(next)]);
+    for field in ["limit_per_s", "share_per_s", "limit_age_ms"] {
+        assert!(reached.fields.contains_key(field), "{field}");
+    }
+    let mut events = history.daemon_events.iter();
+    assert!(events.any(|line| line.event == "target_limit_changed"));
+}
+
 #[test]
 fn a_request_without_lines_has_no_history() {
     assert_eq!(history("r-unknown"), None);
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -224,3 +224,31 @@
         })
         .await;
 }
+
+/// Control may cost a daemon 6 KB/s, and a daemon asks for 16 permits per second while all targets
+/// have limits.
+#[tokio::test]
+async fn permit_takes_few_bytes() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            tokio::task::spawn_local(serve(
+                listener,
+                source(),
+                |error| panic!("{error}"),
+                ByteCounter::default(),
+            ));
+            let bytes = ByteCounter::default();
+            let client = MirrorClient::connect(address, bytes.clone()).await;
+            let client = client.expect("listening");
+            client.take_permit(&permit_request()).await.expect("a call");
+            let before = bytes.get();
+            for _ in 0..100 {
+                client.take_permit(&permit_request()).await.expect("a call");
+            }
+            let per_call = (bytes.get() - before) / 100;
+            assert!(per_call <= 6_000 / 16, "{per_call} bytes");
+        })
+        .await;
+}
