Read the software version of targets and log it

No hypothesis on the streams that go on at another version can be told apart without it: no log line names a version. target_listed and sent name it now, shortened to 64 characters. The entry of a target keeps it, a missing one as empty text, one that is no text as text of its own. No decision reads it yet.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -23,6 +23,7 @@
             address: ([10, 0, 0, 1], number).into(),
             service: "pool".into(),
             domain: "one".into(),
+            version: compact_str::CompactString::default(),
             slots: 64,
             state: TargetState::Ready,
             warmup_remaining: Duration::ZERO,
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -9,6 +9,12 @@
 
 /// Name of a daemon; unique in the fleet and stable across restarts.
 pub type DaemonId = CompactString;
+/// Version of the software that a target runs; empty if it announces none.
+pub type SoftwareVersion = CompactString;
+/// Hash of a software version, by which daemons name it to each other.
+pub type VersionHash = u64;
+/// Hash of workspace and request id of the attempt that brought the first event of a stream.
+pub type StreamKey = u64;
 /// Name of a target: one engine or one instance of a plain service.
 pub type TargetId = CompactString;
 /// Name of a pool of targets.
@@ -104,6 +110,18 @@
     hash_parts(&[workspace.as_bytes(), body])
 }
 
+/// Hashes a software version. Targets that announce none have the same one.
+#[must_use]
+pub fn version_hash(version: &str) -> VersionHash {
+    hash_parts(&[version.as_bytes()])
+}
+
+/// Hashes a workspace and a request id, so that a caller can't name the stream of another workspace.
+#[must_use]
+pub fn stream_key(workspace: &str, request: &str) -> StreamKey {
+    hash_parts(&[workspace.as_bytes(), request.as_bytes()])
+}
+
 /// Hashes a list of parts; the boundaries between the parts affect the result.
 #[must_use]
 pub fn hash_parts(parts: &[&[u8]]) -> u64 {
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -8,7 +8,7 @@
 
 use crate::admission::LimitView;
 use crate::clock::Moment;
-use crate::ids::{TargetId, TargetKey};
+use crate::ids::{TargetId, TargetKey, VersionHash, version_hash};
 use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
 use crate::retry::{Breaker, Pause};
 use crate::routing::LoadView;
@@ -41,6 +41,9 @@
     pub hash: TargetHash,
     /// Latest entry in the store.
     pub entry: TargetEntry,
+    /// Names the software version in messages between daemons. Invariant: the hash of the entry's
+    /// version.
+    pub version: VersionHash,
     /// Whether the target gets new requests.
     pub standing: Standing,
     /// Circuit breaker fed by this daemon's own attempts.
@@ -329,6 +332,7 @@
         let mut target = KnownTarget {
             key: self.last_key,
             hash: target_hash(&entry.incarnation()),
+            version: version_hash(&entry.version),
             standing: Standing::InUse,
             breaker: Breaker::default(),
             pause: Pause::default(),
--- a/crates/core/src/membership/entry.rs
+++ b/crates/core/src/membership/entry.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{FailureDomain, ServiceId, TargetId};
+use crate::ids::{FailureDomain, ServiceId, SoftwareVersion, TargetId};
 
 value! {
     /// State that a target announces.
@@ -38,6 +38,8 @@
         pub service: ServiceId,
         /// Failure domain that it runs in.
         pub domain: FailureDomain,
+        /// Version of its software.
+        pub version: SoftwareVersion,
         /// Number of requests that it runs concurrently.
         pub slots: u32,
         /// State that it announced.
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -383,6 +383,7 @@
             address: ([10, 0, 0, 1], 8_000 + number).into(),
             service: "pool".into(),
             domain: domain(number.into()),
+            version: compact_str::CompactString::default(),
             slots: 32,
             state: TargetState::Ready,
             warmup_remaining: Duration::ZERO,
--- a/crates/core/tests/fleet_sample.rs
+++ b/crates/core/tests/fleet_sample.rs
@@ -45,6 +45,7 @@
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         service: "pool".into(),
         domain: "east".into(),
+        version: compact_str::CompactString::default(),
         slots: 64,
         state: TargetState::Ready,
         warmup_remaining: Duration::ZERO,
--- a/crates/core/tests/limited_homes.rs
+++ b/crates/core/tests/limited_homes.rs
@@ -25,6 +25,7 @@
             service: "pool".into(),
             address: address.parse().expect("an address"),
             domain: "east".into(),
+            version: compact_str::CompactString::default(),
             slots: SLOTS,
             state: TargetState::Ready,
             started_unix_ms: None,
--- a/crates/core/tests/placement_by_parts.rs
+++ b/crates/core/tests/placement_by_parts.rs
@@ -29,6 +29,7 @@
             address: ([10, 0, 0, 1], 8_000 + number).into(),
             service: "pool".into(),
             domain: ["east", "west", "north"][usize::from(number) % 3].into(),
+            version: compact_str::CompactString::default(),
             slots: 64,
             state: TargetState::Ready,
             warmup_remaining: Duration::ZERO,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -37,6 +37,9 @@
 use crate::spans::Spans;
 use crate::store::{RecordLease, StoreClient};
 
+/// Length to which software versions are shortened in logs.
+const MAX_VERSION_CHARS: usize = 64;
+
 /// A daemon between callers and targets.
 pub struct Edge {
     /// Settings from the start of the daemon; they don't change.
@@ -158,6 +161,12 @@
     }
 }
 
+/// The beginning of a software version, for logs.
+pub(crate) fn short_version(version: &str) -> &str {
+    let end = version.char_indices().nth(MAX_VERSION_CHARS);
+    end.map_or(version, |(end, _)| &version[..end])
+}
+
 impl Edge {
     /// A daemon that has read nothing from the store yet.
     #[must_use]
@@ -317,6 +326,14 @@
         Some((known.entry.id.clone(), known.entry.address))
     }
 
+    /// Software version of a target, for logs; `None` if the target is not known.
+    #[must_use]
+    pub fn version_label(&self, target: TargetKey) -> Option<String> {
+        let state = self.state.borrow();
+        let known = state.directory.get(target)?;
+        Some(short_version(&known.entry.version).to_owned())
+    }
+
     /// When a target last sent anything; zero if it is not known.
     #[must_use]
     pub fn heard_at(&self, target: TargetKey) -> Moment {
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -438,6 +438,7 @@
         request:% = job.request.envelope.id,
         target:% = target_id,
         service:% = job.request.service,
+        version = job.edge.version_label(choice.target),
         config_version = job.request.config_version,
         waited_ms = millis(job.queue_wait),
         config_age_ms = job.edge.config_age().map(millis),
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -9,7 +9,7 @@
 use lapismoor_core::routing::RoutingConfig;
 
 use super::update::StoreUpdate;
-use crate::context::Edge;
+use crate::context::{Edge, short_version};
 
 /// Why an update is applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -98,6 +98,7 @@
 fn apply_target(edge: &Edge, now: Moment, entry: TargetEntry, cause: Cause) {
     let mut state = edge.state.borrow_mut();
     let id = entry.id.clone();
+    let version = short_version(&entry.version).to_owned();
     let previous = state
         .directory
         .find(&id)
@@ -117,7 +118,7 @@
         Vec::new()
     };
     drop(state);
-    log::info!(target:% = id, change:?; "target_listed");
+    log::info!(target:% = id, change:?, version; "target_listed");
     for predecessor in predecessors {
         log::info!(target:% = predecessor.id, successor:% = id; "target_replaced");
         edge.target_crashed(&predecessor);
--- a/crates/soak/src/compare/distributed.rs
+++ b/crates/soak/src/compare/distributed.rs
@@ -132,6 +132,7 @@
                     address: ([127, 0, 0, 1], 1).into(),
                     service: self.service.name.clone(),
                     domain: "one".into(),
+                    version: compact_str::CompactString::default(),
                     slots: u32::try_from(SLOTS_PER_ENGINE).unwrap_or(u32::MAX),
                     state: if engine.is_live {
                         TargetState::Ready
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -117,6 +117,7 @@
         address: ([10, 0, 0, 1], number).into(),
         service: "pool".into(),
         domain: "one".into(),
+        version: compact_str::CompactString::default(),
         slots: 64,
         state: TargetState::Ready,
         warmup_remaining: Duration::ZERO,
