Let streams go on only at their version within an answer, and fetch caches only from the same one

What callers saw: a stream that broke off was resumed within its answer at any target, also at one with other software.

Cause: no choice of a target knew the version of the stream. All ways on which a stream changes its target within one answer (resumed after a break, offered while overdue, sent again after a rejection, a permit that is denied) go through Chooser::choose, which gets the version of the first event now, and offers no other target. Caches are fetched from targets of the same version only: what two versions write doesn't fit together. A target whose version changes under its id is another incarnation, with or without a new start time.

A stream whose version is gone, or whose only target of its version has failed while others serve, ends at once: it takes no retry and doesn't wait the two seconds in which a silent target may return. Its cause is stream_version_gone.

Ruled out: an old list of targets; the store never failed in the test.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -11,6 +11,7 @@
 use lapismoor_core::admission::queue::{Queue, QueuedItem};
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
 use lapismoor_core::routing::{AffinityPreference, Chooser, LoadBound, PromptPart, TargetQuery};
+use lapismoor_core::stream::VersionBinding;
 
 const ENGINES: u16 = 600;
 
@@ -23,7 +24,7 @@
             address: ([10, 0, 0, 1], number).into(),
             service: "pool".into(),
             domain: "one".into(),
-            version: compact_str::CompactString::default(),
+            version: "v1".into(),
             slots: 64,
             state: TargetState::Ready,
             warmup_remaining: Duration::ZERO,
@@ -48,6 +49,7 @@
                 let query = TargetQuery {
                     service: &service,
                     parts,
+                    version: VersionBinding::Free,
                     request: 7,
                     tried: &[],
                     may_repeat_target: false,
--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -20,6 +20,13 @@
         UnknownKey,
         /// The service has no target in use.
         NoTarget,
+        /// No target has the software version at which the stream began.
+        StreamVersionGone,
+        /// Targets have different software versions, and at which one the stream began is not known.
+        StreamOriginUnknown {
+            /// Delay before a retry, if a daemon that was not reached may know.
+            retry_after: Option<Duration>,
+        },
         /// No target could be reached.
         Unreachable,
         /// All targets have asked for a pause.
@@ -69,6 +76,8 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::NoTarget => "no_target",
+            Self::StreamVersionGone => "stream_version_gone",
+            Self::StreamOriginUnknown { .. } => "stream_origin_unknown",
             Self::Unreachable => "unreachable",
             Self::TargetsPaused { .. } => "targets_paused",
             Self::TargetsLimited { .. } => "targets_limited",
@@ -96,7 +105,8 @@
     #[must_use]
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoRoute | Self::UnknownKey => None,
+            Self::NoRoute | Self::UnknownKey | Self::StreamVersionGone => None,
+            Self::StreamOriginUnknown { retry_after } => *retry_after,
             Self::TargetsPaused { retry_after }
             | Self::TargetsLimited { retry_after }
             | Self::Full { retry_after }
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -361,13 +361,17 @@
 }
 
 impl KnownTarget {
-    /// Whether an entry belongs to another incarnation of the target.
+    /// Whether an entry belongs to another incarnation of the target. Its software changes only
+    /// with a start.
     fn is_other_incarnation(&self, entry: &TargetEntry) -> bool {
         let is_restarted = match (self.entry.started_unix_ms, entry.started_unix_ms) {
             (Some(current), Some(new)) => current != new,
             _ => false,
         };
-        is_restarted || self.entry.address != entry.address || self.entry.service != entry.service
+        is_restarted
+            || self.entry.address != entry.address
+            || self.entry.service != entry.service
+            || self.entry.version != entry.version
     }
 
     /// Whether requests may be sent to the target now.
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -15,6 +15,7 @@
 use crate::membership::{Directory, KnownTarget};
 use crate::routing::popularity::Popularity;
 use crate::routing::rendezvous::{rendezvous_first, rendezvous_order};
+use crate::stream::VersionBinding;
 
 /// Capacity left free below the load bound for requests of other daemons that this daemon has not
 /// seen yet.
@@ -69,6 +70,8 @@
     pub enum NoTarget {
         /// The service has no target in use.
         NoneInUse,
+        /// No target in use has the software version at which the stream began.
+        NoneOfVersion,
         /// All targets in use were already tried or are unreachable.
         NoneReachable,
         /// All targets that could get the request have reached their limits.
@@ -94,6 +97,8 @@
     /// Parts of the prompt, in order; empty for plain services. The last one is unique to the
     /// request.
     pub parts: &'a [PromptPart],
+    /// Software version at which a stream that has begun may go on.
+    pub version: VersionBinding,
     /// Hash of the request, which breaks ties between equally loaded targets.
     pub request: u64,
     /// Targets that the request was already sent to.
@@ -226,7 +231,12 @@
     ) -> Result<Choice, NoTarget> {
         let candidates = candidates(now, directory, query);
         if candidates.is_empty() {
-            return Err(NoTarget::NoneInUse);
+            let has_others = directory.in_use(query.service).next().is_some();
+            return Err(if has_others {
+                NoTarget::NoneOfVersion
+            } else {
+                NoTarget::NoneInUse
+            });
         }
         let bounds = self.bounds(&candidates, query.preference.bound.as_ref());
         let shared_part = placement_parts(query.parts).last();
@@ -277,13 +287,7 @@
         };
         Some(Choice {
             target: candidate.target.key,
-            fetch_from: Self::fetch_source(
-                now,
-                directory,
-                query.service,
-                part,
-                candidate.target.key,
-            ),
+            fetch_from: Self::fetch_source(now, directory, query.service, part, candidate.target),
             reason,
             load: candidate.load,
             bound: bounds.max_load,
@@ -361,16 +365,19 @@
     }
 
     /// The first home of the part, other than the chosen target, among the targets that are or
-    /// recently were in use. Nothing is transferred if its cache no longer holds the part.
+    /// recently were in use and have the same software version. Nothing is transferred if its cache
+    /// no longer holds the part.
     fn fetch_source(
         now: Moment,
         directory: &Directory,
         service: &str,
         part: &PromptPart,
-        chosen: TargetKey,
+        chosen: &KnownTarget,
     ) -> Option<TargetKey> {
         let others = directory.with_cache(now, service);
-        let others: Vec<&KnownTarget> = others.filter(|other| other.key != chosen).collect();
+        let fits =
+            |other: &&KnownTarget| other.key != chosen.key && other.version == chosen.version;
+        let others: Vec<&KnownTarget> = others.filter(fits).collect();
         let names = others.iter().map(|other| other.entry.id.as_str());
         let first = rendezvous_first(part.id, names)?;
         Some(others[first].key)
@@ -451,7 +458,10 @@
     directory: &'a Directory,
     query: &TargetQuery<'a>,
 ) -> Vec<Candidate<'a>> {
-    let targets: Vec<&KnownTarget> = directory.in_use(query.service).collect();
+    let targets = directory.in_use(query.service);
+    let targets: Vec<&KnownTarget> = targets
+        .filter(|target| query.version.allows(target.version))
+        .collect();
     let reports = targets
         .iter()
         .filter_map(|target| target.load.fresh_others(now));
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -16,6 +16,7 @@
 use lapismoor_core::routing::{
     AffinityPreference, Chooser, LoadBound, Observations, PromptPart, ReportedLoad, TargetQuery,
 };
+use lapismoor_core::stream::VersionBinding;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -296,6 +297,7 @@
         let query = TargetQuery {
             service: &"pool".into(),
             parts: &parts.map(|(id, tokens)| PromptPart { id, tokens }),
+            version: VersionBinding::Free,
             request: self.event_count,
             tried: &[],
             may_repeat_target: false,
@@ -383,7 +385,7 @@
             address: ([10, 0, 0, 1], 8_000 + number).into(),
             service: "pool".into(),
             domain: domain(number.into()),
-            version: compact_str::CompactString::default(),
+            version: "v1".into(),
             slots: 32,
             state: TargetState::Ready,
             warmup_remaining: Duration::ZERO,
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -16,7 +16,7 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         service: "pool".into(),
         domain: "east".into(),
-        version: compact_str::CompactString::default(),
+        version: "v1".into(),
         slots: 4,
         state: TargetState::Ready,
         warmup_remaining: Duration::ZERO,
--- a/crates/core/tests/fleet_sample.rs
+++ b/crates/core/tests/fleet_sample.rs
@@ -12,6 +12,7 @@
     AffinityPreference, Choice, Chooser, LoadBound, Observations, PartRequests, PromptPart, Reason,
     ReportedLoad, TargetQuery,
 };
+use lapismoor_core::stream::VersionBinding;
 
 struct Daemon {
     directory: Directory,
@@ -45,7 +46,7 @@
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         service: "pool".into(),
         domain: "east".into(),
-        version: compact_str::CompactString::default(),
+        version: "v1".into(),
         slots: 64,
         state: TargetState::Ready,
         warmup_remaining: Duration::ZERO,
@@ -76,6 +77,7 @@
     let query = TargetQuery {
         service: &service,
         parts: &parts,
+        version: VersionBinding::Free,
         request: 7,
         tried: &[],
         may_repeat_target: false,
--- a/crates/core/tests/limited_homes.rs
+++ b/crates/core/tests/limited_homes.rs
@@ -11,6 +11,7 @@
 use lapismoor_core::routing::{
     AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, ReportedLoad, TargetQuery,
 };
+use lapismoor_core::stream::VersionBinding;
 
 const TARGETS: usize = 9;
 const SLOTS: u32 = 64;
@@ -25,7 +26,7 @@
             service: "pool".into(),
             address: address.parse().expect("an address"),
             domain: "east".into(),
-            version: compact_str::CompactString::default(),
+            version: "v1".into(),
             slots: SLOTS,
             state: TargetState::Ready,
             started_unix_ms: None,
@@ -83,6 +84,7 @@
     let query = TargetQuery {
         service: &"pool".into(),
         parts: &parts,
+        version: VersionBinding::Free,
         request: 7,
         tried: &[],
         may_repeat_target: false,
--- a/crates/core/tests/placement_by_parts.rs
+++ b/crates/core/tests/placement_by_parts.rs
@@ -9,6 +9,7 @@
     AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, Reason, ReportedLoad,
     TargetQuery,
 };
+use lapismoor_core::stream::VersionBinding;
 use test_case::test_case;
 
 const BOUND: LoadBound = LoadBound {
@@ -29,7 +30,7 @@
             address: ([10, 0, 0, 1], 8_000 + number).into(),
             service: "pool".into(),
             domain: ["east", "west", "north"][usize::from(number) % 3].into(),
-            version: compact_str::CompactString::default(),
+            version: "v1".into(),
             slots: 64,
             state: TargetState::Ready,
             warmup_remaining: Duration::ZERO,
@@ -57,6 +58,7 @@
     let query = TargetQuery {
         service: &service,
         parts,
+        version: VersionBinding::Free,
         request: 7,
         tried: &[],
         may_repeat_target: false,
@@ -274,6 +276,7 @@
         let query = TargetQuery {
             service: &service,
             parts: &[],
+            version: VersionBinding::Free,
             request: 7,
             tried: &[only],
             may_repeat_target,
@@ -330,6 +333,7 @@
     let query = TargetQuery {
         service: &service,
         parts: &parts,
+        version: VersionBinding::Free,
         request: 7,
         tried: &[],
         may_repeat_target: false,
@@ -358,6 +362,7 @@
     let query = |bound| TargetQuery {
         service: &service,
         parts: &[],
+        version: VersionBinding::Free,
         request: 7,
         tried: &[],
         may_repeat_target: false,
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -11,7 +11,7 @@
     Allocators, Evidence, LimitNotice, Overloads, ReturnSchedule, StopPlan, Suspects, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
-use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey};
+use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
 use lapismoor_core::membership::{
     CrashWatch, DaemonRecord, Directory, Freshness, Mirror, TargetIncarnation, TrafficShare,
 };
@@ -326,6 +326,13 @@
         Some((known.entry.id.clone(), known.entry.address))
     }
 
+    /// Hash of a target's software version; `None` if the target is not known, or was replaced.
+    #[must_use]
+    pub fn version_of(&self, target: TargetKey) -> Option<VersionHash> {
+        let state = self.state.borrow();
+        Some(state.directory.get(target)?.version)
+    }
+
     /// Software version of a target, for logs; `None` if the target is not known.
     #[must_use]
     pub fn version_label(&self, target: TargetKey) -> Option<String> {
--- a/crates/edge/src/history/cause.rs
+++ b/crates/edge/src/history/cause.rs
@@ -19,7 +19,7 @@
 }
 
 /// Name, meaning and remedy of each known cause.
-const CAUSES: [(&str, &str, &str); 35] = [
+const CAUSES: [(&str, &str, &str); 37] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -185,6 +185,16 @@
         "no target could resume the stream",
         "check the targets that were tried",
     ),
+    (
+        "stream_version_gone",
+        "no target in use has the software version that began the stream, so that none can go on with it",
+        "look for its stream_version events: the version and how the daemon knew it; compare it with the target_listed events",
+    ),
+    (
+        "stream_origin_unknown",
+        "targets have different software versions, and no daemon that was asked knew at which one the stream began",
+        "look for its stream_version event: what the caller named and which daemons were asked; look for the request that it names",
+    ),
     (
         "time_up",
         "the deadline of the caller or the timeout of the route passed",
--- a/crates/edge/src/profiles/outcome.rs
+++ b/crates/edge/src/profiles/outcome.rs
@@ -49,7 +49,10 @@
         Refusal::Busy | Refusal::TargetsPaused { .. } | Refusal::TargetsLimited { .. } => {
             (NotRunProof::RefusedByTargets, FailureKind::NoTarget)
         }
-        Refusal::NoTarget | Refusal::Unreachable => {
+        Refusal::NoTarget
+        | Refusal::Unreachable
+        | Refusal::StreamVersionGone
+        | Refusal::StreamOriginUnknown { .. } => {
             (NotRunProof::NeverDispatched, FailureKind::NoTarget)
         }
         Refusal::Full { .. } => (
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -9,12 +9,13 @@
 use lapismoor_core::admission::suspects::followed_parts;
 use lapismoor_core::admission::{Belief, Priority, Refusal, SuspectKind};
 use lapismoor_core::ids::{Fingerprint, ServiceId, TargetKey, hash_parts};
-use lapismoor_core::membership::TargetIncarnation;
+use lapismoor_core::membership::{KnownTarget, TargetIncarnation};
 use lapismoor_core::retry::{
     AttemptCounts, AttemptEnd, MAX_SOUND_SILENCE, NextStep, Obstacle, OverdueRequest, RetryPolicy,
     may_replace,
 };
 use lapismoor_core::routing::{Choice, NoTarget, TargetQuery};
+use lapismoor_core::stream::VersionBinding;
 use opentelemetry::trace::SpanKind;
 
 use super::admitted_request::AdmittedRequest;
@@ -103,6 +104,8 @@
     pub is_streaming: bool,
     /// Whether events of a stream were forwarded to the caller.
     pub is_delivering: bool,
+    /// Software version at which the stream may go on, once events were forwarded to the caller.
+    pub version: Cell<VersionBinding>,
     /// Time in the admission queue.
     pub queue_wait: Duration,
     permit: Option<Permit>,
@@ -133,6 +136,7 @@
             is_end_reported: Cell::new(false),
             is_streaming: false,
             is_delivering: false,
+            version: Cell::default(),
             queue_wait: Duration::ZERO,
             permit: None,
             span: start_span(&edge, &request.envelope, &request.service),
@@ -265,6 +269,7 @@
         let query = TargetQuery {
             service: &self.request.service,
             parts,
+            version: self.version.get(),
             request: request_hash(&self.request.envelope.id),
             tried,
             may_repeat_target,
@@ -277,12 +282,36 @@
         state.chooser.choose(now, &state.directory, &query)
     }
 
+    /// Whether targets in use have the software version at which the stream may go on.
+    pub(crate) fn serves_version(&self) -> bool {
+        let version = self.version.get();
+        let state = self.edge.state.borrow();
+        let mut targets = state.directory.in_use(&self.request.service);
+        version == VersionBinding::Free || targets.any(|target| version.allows(target.version))
+    }
+
+    /// Whether a target may get the stream, now or once it returns. Where targets of other versions
+    /// serve, only untried ones of its own version are waited for.
+    fn can_go_on(&self) -> bool {
+        let version = self.version.get();
+        let tried = self.tried.borrow();
+        let may_repeat = self.may_repeat_target.get();
+        let state = self.edge.state.borrow();
+        let (own, others): (Vec<_>, Vec<_>) = state
+            .directory
+            .in_use(&self.request.service)
+            .partition(|target| version.allows(target.version));
+        let is_untried = |target: &&KnownTarget| may_repeat || !tried.contains(&target.key);
+        others.is_empty() || own.iter().any(is_untried)
+    }
+
     /// Waits until a target can be chosen, for as long as sound targets may be silent. Returns
     /// whether there is one.
     pub(crate) async fn wait_for_target(&self) -> bool {
         let give_up_at = self.edge.now() + MAX_SOUND_SILENCE;
         while !self.has_target() {
-            if self.edge.now() >= give_up_at || self.time_left() < MIN_REPLACEMENT_TIME {
+            let is_late = self.edge.now() >= give_up_at || self.time_left() < MIN_REPLACEMENT_TIME;
+            if is_late || !self.can_go_on() {
                 return false;
             }
             tokio::time::sleep(TARGET_POLL_INTERVAL).await;
@@ -295,9 +324,12 @@
         let state = self.edge.state.borrow();
         let tried = self.tried.borrow();
         let may_repeat = self.may_repeat_target.get();
+        let version = self.version.get();
         let mut targets = state.directory.in_use(&self.request.service);
-        targets
-            .any(|target| target.is_available(now) && (may_repeat || !tried.contains(&target.key)))
+        targets.any(|target| {
+            let is_untried = may_repeat || !tried.contains(&target.key);
+            target.is_available(now) && is_untried && version.allows(target.version)
+        })
     }
 
     /// Chooses the target that replaces one from which nothing was heard since `silent_since`.
@@ -327,10 +359,12 @@
             let has_request = in_flight.iter().any(|attempt| attempt.target == *key);
             has_request || tried.contains(key) || declined.contains(key)
         };
+        let version = self.version.get();
         let mut unsuitable = Vec::new();
         let mut has_suitable = false;
         for target in state.directory.in_use(&self.request.service) {
-            let is_suitable = target.is_available(now)
+            let is_suitable = version.allows(target.version)
+                && target.is_available(now)
                 && may_replace(now, silent_since, target.last_received_at)
                 && !is_known(&target.key);
             has_suitable |= is_suitable;
@@ -341,6 +375,16 @@
         has_suitable.then_some(unsuitable)
     }
 
+    /// Records that events are forwarded to the caller, the first ones from this target.
+    pub(crate) fn begin_delivery(&mut self, target: TargetKey) {
+        if self.is_delivering {
+            return;
+        }
+        self.is_delivering = true;
+        let version = self.edge.version_of(target);
+        self.version.set(self.version.get().bind(version));
+    }
+
     /// Whether another target may get the request while the current attempt is open.
     pub(crate) fn allows_replacement(&self) -> bool {
         self.retry_policy().allows_replacement(self.progress.get())
@@ -410,9 +454,9 @@
         let end = &failed.end;
         let take_budget =
             || *end == AttemptEnd::NotSent || self.edge.take_retry(&self.request.service);
-        let has_time = self.time_left() > MIN_TIME_LEFT;
+        let has_chance = self.time_left() > MIN_TIME_LEFT && self.can_go_on();
         self.retry_policy()
-            .next(end, self.progress.get(), has_time, take_budget)
+            .next(end, self.progress.get(), has_chance, take_budget)
     }
 
     /// Whether attempts and success are logged: for sampled requests, and for all after a failed
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -26,6 +26,9 @@
 /// Cause of a request that is not sent again because the targets have reached their limits.
 pub(crate) const LIMIT_REACHED: &str = "limit_reached";
 
+/// Cause of a stream that cannot go on because no target has the software version that began it.
+pub(crate) const VERSION_GONE: &str = "stream_version_gone";
+
 /// How a request ended.
 pub(crate) enum Outcome {
     /// An answer of a target that was read completely.
@@ -142,12 +145,14 @@
     if job.progress.get().runs > 0 {
         let cause = match reason {
             NoTarget::Limited { .. } => LIMIT_REACHED,
+            NoTarget::NoneOfVersion => VERSION_GONE,
             _ => "no_target",
         };
         return give_up(job, &NextStep::PassOn, cause, last_failure);
     }
     let refusal = match reason {
         NoTarget::NoneInUse => Refusal::NoTarget,
+        NoTarget::NoneOfVersion => Refusal::StreamVersionGone,
         NoTarget::NoneReachable => Refusal::Unreachable,
         NoTarget::Limited { left, .. } => Refusal::TargetsLimited {
             retry_after: job.edge.limit_retry_after(&job.request.service, *left),
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -13,7 +13,7 @@
 use super::attempt::{Answer, FailedAttempt};
 use super::job::Job;
 use super::report;
-use super::run::CRASHES_TARGETS;
+use super::run::{CRASHES_TARGETS, VERSION_GONE};
 use super::takeover::{self, CHECK_INTERVAL, Offer, Overdue};
 use crate::store::share_now;
 
@@ -120,7 +120,7 @@
             let events = self.splitter.push(&bytes);
             let events = events.map_err(|_| FailedAttempt::not_awaited("event_too_large"))?;
             if !events.is_empty() {
-                self.job.is_delivering = true;
+                self.job.begin_delivery(self.answer.target);
                 self.has_events = true;
                 self.wait = EventWait::begin(&self.job);
                 self.record_latency();
@@ -206,16 +206,16 @@
             let step = self.job.next_step(self.choice.target, &failed);
             report::attempt_failed(&self.job, &self.choice, &failed, &step);
             if step != NextStep::Retry {
-                return Err(failed.cause);
+                return Err(self.cause_of_end(&failed));
             }
             if !self.job.wait_for_target().await {
-                return Err(failed.cause);
+                return Err(self.cause_of_end(&failed));
             }
             let clear = self.job.clear_to_send().await;
             clear.map_err(|_| CRASHES_TARGETS)?;
             let give_up_at = self.job.edge.now() + MAX_SOUND_SILENCE.min(self.job.time_left());
             let chosen = self.job.choose_target(give_up_at).await;
-            let choice = chosen.map_err(|_| failed.cause)?;
+            let choice = chosen.map_err(|_| self.cause_of_end(&failed))?;
             let last_event = self.splitter.last_id();
             let (choice, result) = takeover::run_attempt(&self.job, choice, last_event).await;
             self.choice = choice;
@@ -230,6 +230,15 @@
             }
         }
     }
+
+    /// Why a stream that no target can resume ends.
+    fn cause_of_end(&self, failed: &FailedAttempt) -> &'static str {
+        if self.job.serves_version() {
+            failed.cause
+        } else {
+            VERSION_GONE
+        }
+    }
 }
 
 /// Reads the next bytes. An answer that ends in the middle of an event was cut off.
--- a/crates/soak/src/compare/distributed.rs
+++ b/crates/soak/src/compare/distributed.rs
@@ -14,6 +14,7 @@
 use lapismoor_core::routing::{
     Chooser, LoadBound, PromptPart, ReportedLoad, Service, TargetQuery, profile_route,
 };
+use lapismoor_core::stream::VersionBinding;
 
 use super::policy::{Policy, engine_name};
 use super::pool::{EnginePool, SLOTS_PER_ENGINE};
@@ -132,7 +133,7 @@
                     address: ([127, 0, 0, 1], 1).into(),
                     service: self.service.name.clone(),
                     domain: "one".into(),
-                    version: compact_str::CompactString::default(),
+                    version: "v1".into(),
                     slots: u32::try_from(SLOTS_PER_ENGINE).unwrap_or(u32::MAX),
                     state: if engine.is_live {
                         TargetState::Ready
@@ -215,6 +216,7 @@
         let query = TargetQuery {
             service: &self.service.name,
             parts: &parts,
+            version: VersionBinding::Free,
             request: request.id,
             tried: &[],
             may_repeat_target: false,
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -14,6 +14,7 @@
     DaemonRecord, Directory, Mirror, Sources, StoreItem, TargetEntry, TargetState,
 };
 use lapismoor_core::routing::{AffinityPreference, Chooser, LoadBound, PromptPart, TargetQuery};
+use lapismoor_core::stream::VersionBinding;
 
 /// Number of decisions averaged for a point.
 const DECISIONS_PER_POINT: u32 = 2_000;
@@ -117,7 +118,7 @@
         address: ([10, 0, 0, 1], number).into(),
         service: "pool".into(),
         domain: "one".into(),
-        version: compact_str::CompactString::default(),
+        version: "v1".into(),
         slots: 64,
         state: TargetState::Ready,
         warmup_remaining: Duration::ZERO,
@@ -137,6 +138,7 @@
         let demand = TargetQuery {
             service: &service,
             parts: &parts,
+            version: VersionBinding::Free,
             request: round.into(),
             tried: &[],
             may_repeat_target: false,
