--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -31,7 +31,8 @@
 use crate::in_flight::RequestsInFlight;
 use crate::metrics::Metrics;
 use crate::millis::millis;
-use crate::permits::{PermitPeers, log_limit_change};
+use crate::peers::Peers;
+use crate::permits::log_limit_change;
 use crate::profiles::KeyLease;
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
@@ -92,8 +93,8 @@
     /// Connection to the daemon from which this one reads the store; none if it reads the store
     /// itself.
     pub collector: RefCell<Option<Rc<MirrorClient>>>,
-    /// Connections to the daemons that hand out permits.
-    pub permit_peers: PermitPeers,
+    /// Connections to other daemons that are kept open while they are in use.
+    pub peers: Peers,
     /// Count of bytes exchanged with other daemons.
     pub peer_bytes: ByteCounter,
 }
@@ -227,7 +228,7 @@
             idempotent_request_ended: Notify::new(),
             key_lease,
             collector: RefCell::new(None),
-            permit_peers: PermitPeers::default(),
+            peers: Peers::default(),
             peer_bytes: ByteCounter::default(),
         })
     }
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -1,6 +1,5 @@
 //! Permits for requests to targets that name a limit, from this daemon or another one.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,36 +13,17 @@
 use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
 use lapismoor_core::membership::{DaemonRecord, is_small_fleet};
 use lapismoor_core::routing::fleet_sample::{TargetHash, merge_limits};
-use lapismoor_mirror::{MirrorClient, MirrorError};
 
 use crate::context::{Edge, State};
 use crate::millis::millis;
+use crate::peers::FAILURE_BACKOFF;
 
 /// Timeout of a call for a permit, with the connection: the request waits meanwhile.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time for which a daemon that did not answer is not asked again.
-const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
-/// Time after which an unused connection to another daemon is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Source of a limit that a daemon told without its name.
 pub(crate) const OTHER_DAEMON: &str = "daemon";
 
-/// Connections to the daemons that hand out permits.
-#[derive(Default)]
-pub struct PermitPeers {
-    peers: RefCell<Vec<PermitPeer>>,
-}
-
-/// Another daemon that hands out permits.
-struct PermitPeer {
-    daemon: DaemonRecord,
-    connection: Option<Rc<MirrorClient>>,
-    used_at: Moment,
-    /// Until when it is not asked, since it did not answer.
-    failed_until: Moment,
-}
-
 /// A target's limit, for logs.
 #[derive(Debug, Clone)]
 pub(crate) struct LimitReport {
@@ -56,48 +36,6 @@
     pub age: Duration,
 }
 
-impl PermitPeers {
-    /// Closes connections that are not in use.
-    pub(crate) fn close_idle(&self, now: Moment) {
-        self.peers.borrow_mut().retain(|peer| {
-            let is_used = now.saturating_sub(peer.used_at) < IDLE_TIMEOUT;
-            is_used || now < peer.failed_until
-        });
-    }
-
-    /// The open connection to a daemon.
-    fn connection(&self, now: Moment, daemon: &DaemonRecord) -> Option<Rc<MirrorClient>> {
-        let mut peers = self.peers.borrow_mut();
-        let peer = peers.iter_mut().find(|peer| peer.daemon == *daemon)?;
-        peer.used_at = now;
-        peer.connection.clone()
-    }
-
-    fn is_backed_off(&self, now: Moment, daemon: &DaemonRecord) -> bool {
-        let peers = self.peers.borrow();
-        let mut peers = peers.iter();
-        peers.any(|peer| peer.daemon == *daemon && now < peer.failed_until)
-    }
-
-    /// Replaces what is known of a daemon: its connection, or until when it is not asked.
-    fn set(
-        &self,
-        now: Moment,
-        daemon: &DaemonRecord,
-        connection: Option<Rc<MirrorClient>>,
-        failed_until: Moment,
-    ) {
-        let mut peers = self.peers.borrow_mut();
-        peers.retain(|peer| peer.daemon.id != daemon.id);
-        peers.push(PermitPeer {
-            daemon: daemon.clone(),
-            connection,
-            used_at: now,
-            failed_until,
-        });
-    }
-}
-
 impl Edge {
     /// Takes a permit for one request to a target, and returns whether the request may be sent. A
     /// target without a limit needs none.
@@ -182,7 +120,7 @@
 
     async fn ask_for_permit(&self, daemon: &DaemonRecord, request: PermitRequest) -> PermitResult {
         let now = self.now();
-        if self.permit_peers.is_backed_off(now, daemon) {
+        if self.peers.is_backed_off(now, daemon) {
             return PermitResult::NotAllocator;
         }
         let call = async {
@@ -197,30 +135,13 @@
             Ok(Err(error)) => error.to_string(),
             Err(_) => "the daemon did not answer within the timeout".into(),
         };
-        self.peer_failed(daemon, &reason);
+        self.permit_peer_failed(daemon, &reason);
         PermitResult::NotAllocator
     }
 
-    async fn peer_connection(
-        &self,
-        daemon: &DaemonRecord,
-    ) -> Result<Rc<MirrorClient>, MirrorError> {
-        if let Some(connection) = self.permit_peers.connection(self.now(), daemon) {
-            return Ok(connection);
-        }
-        let connecting = MirrorClient::connect(daemon.address, self.peer_bytes.clone());
-        let connection = Rc::new(connecting.await?);
-        let kept = Some(Rc::clone(&connection));
-        self.permit_peers
-            .set(self.now(), daemon, kept, Moment::ZERO);
-        Ok(connection)
-    }
-
-    fn peer_failed(&self, daemon: &DaemonRecord, reason: &str) {
+    fn permit_peer_failed(&self, daemon: &DaemonRecord, reason: &str) {
         log::info!(peer:% = daemon.id, reason; "permit_not_answered");
-        let now = self.now();
-        self.permit_peers
-            .set(now, daemon, None, now + FAILURE_BACKOFF);
+        self.peer_failed(daemon);
     }
 
     /// Decides on a permit for a request of another daemon.
@@ -295,7 +216,7 @@
     }
 
     async fn tell_limit_to(&self, daemon: &DaemonRecord, limit: TargetLimit) {
-        if self.permit_peers.is_backed_off(self.now(), daemon) {
+        if self.peers.is_backed_off(self.now(), daemon) {
             return;
         }
         let call = async {
@@ -304,8 +225,10 @@
         };
         match tokio::time::timeout(PERMIT_TIMEOUT, call).await {
             Ok(Ok(())) => {}
-            Ok(Err(error)) => self.peer_failed(daemon, &error.to_string()),
-            Err(_) => self.peer_failed(daemon, "the daemon did not answer within the timeout"),
+            Ok(Err(error)) => self.permit_peer_failed(daemon, &error.to_string()),
+            Err(_) => {
+                self.permit_peer_failed(daemon, "the daemon did not answer within the timeout")
+            }
         }
     }
 
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -218,7 +218,7 @@
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         let now = edge.now();
         edge.connections.close_expired(now);
-        edge.permit_peers.close_idle(now);
+        edge.peers.close_idle(now);
         edge.state.borrow_mut().ledger.sweep(now);
         let (expired, refuted) = {
             let mut state = edge.state.borrow_mut();
