Let streams go on at their version whichever daemon the caller comes back to

What callers saw: a stream that was taken up again, at the next daemon or after its version had left, went on at any target: the first part from one version, the rest from another, as one answer that looks complete.

Cause: a daemon that had not begun a stream knew nothing of it; `Resumes` was not read. The class: what belongs to a stream was kept by the daemon that happened to begin it.

The daemon that begins a stream records its origin (hash of workspace and request id, hash of the version). While several versions may have served, it tells a few others before the event is written: all of a small fleet, one in each of three failure domains of a large one, which all daemons derive from their list. A daemon that doesn't know a stream asks these. Versions are marked in the store while they serve and for the lifetime of a stream after it, so that a daemon that starts later doesn't take the one it finds for the only one. A stream of unknown origin goes on only where one version alone is possible; else, or if its version is gone, it is refused at once as not run, without a time to return if none can help. Each try is recorded under its own id too, so that a later one may name it. stream_taken_up logs what is known and who knew it.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -7,6 +7,7 @@
 pub mod mirror;
 pub mod sources;
 pub mod traffic_share;
+pub mod versions;
 
 pub use crash_watch::CrashWatch;
 pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
@@ -15,3 +16,4 @@
 pub use mirror::{Mirror, StoreItem};
 pub use sources::{DaemonRecord, Source, Sources, is_small_fleet, max_source_age};
 pub use traffic_share::TrafficShare;
+pub use versions::{Mark, PossibleVersions, ServiceVersion, VersionHistory, VersionMark};
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -1,6 +1,7 @@
 //! Routing configuration, indexed for lookups.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use compact_str::CompactString;
 
@@ -127,6 +128,15 @@
         found.ok().map(|position| &self.services[position])
     }
 
+    /// Longest timeout of the routes to a service whose streams may be resumed; none if there is no
+    /// such route.
+    #[must_use]
+    pub fn resumable_timeout(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.iter().filter(|route| route.is_resumable());
+        let to_service = routes.filter(|route| route.goes_to(service));
+        to_service.map(|route| route.timeout).max()
+    }
+
     /// Whether routes that are not public require a key.
     #[must_use]
     pub fn has_workspaces(&self) -> bool {
--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -85,6 +85,14 @@
         )
     }
 
+    /// Whether requests may be sent to this service.
+    #[must_use]
+    pub fn goes_to(&self, service: &str) -> bool {
+        self.backends
+            .iter()
+            .any(|backend| backend.service == service)
+    }
+
     /// Whether answers are event streams.
     #[must_use]
     pub fn is_stream(&self) -> bool {
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -1,7 +1,9 @@
 //! Event streams that are forwarded from a target to a caller.
 
 pub mod events;
+pub mod origins;
 pub mod version;
 
 pub use events::EventSplitter;
+pub use origins::{StreamOrigin, StreamOrigins, origin_holders, stream_lifetime};
 pub use version::VersionBinding;
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -14,12 +14,14 @@
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
 use lapismoor_core::membership::{
     CrashWatch, DaemonRecord, Directory, Freshness, Mirror, TargetIncarnation, TrafficShare,
+    VersionHistory,
 };
 use lapismoor_core::once::Ledger;
 use lapismoor_core::retry::{MAX_PAUSE, RetryBudget};
 use lapismoor_core::routing::{
     Chooser, ReportedLoad, RoutingConfig, Service, idle_connection_limit, profile_route,
 };
+use lapismoor_core::stream::StreamOrigins;
 use lapismoor_core::{Clock, Moment};
 use lapismoor_mirror::{ByteCounter, MirrorClient};
 use tokio::sync::Notify;
@@ -37,6 +39,7 @@
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
 use crate::store::{RecordLease, StoreClient};
+use crate::streams::OriginQueues;
 
 /// Length to which software versions are shortened in logs.
 const MAX_VERSION_CHARS: usize = 64;
@@ -93,6 +96,10 @@
     /// Connection to the daemon from which this one reads the store; none if it reads the store
     /// itself.
     pub collector: RefCell<Option<Rc<MirrorClient>>>,
+    /// Notified when a software version is listed that was not known.
+    pub version_listed: Notify,
+    /// Origins of streams that are to be told to other daemons.
+    pub origin_queues: OriginQueues,
     /// Connections to other daemons that are kept open while they are in use.
     pub peers: Peers,
     /// Count of bytes exchanged with other daemons.
@@ -138,6 +145,10 @@
     pub traffic_share: TrafficShare,
     /// When this daemon started, if it replaces one that ran shortly before.
     follows_predecessor_since: Option<Moment>,
+    /// Software versions that have served lately.
+    pub versions: VersionHistory,
+    /// Where streams began that callers may take up again.
+    pub origins: StreamOrigins,
     /// Invariant: sorted by service.
     retry_budgets: Vec<(ServiceId, RetryBudget)>,
 }
@@ -200,6 +211,8 @@
             store_stable_since: Moment::ZERO,
             traffic_share: TrafficShare::default(),
             follows_predecessor_since: None,
+            versions: VersionHistory::default(),
+            origins: StreamOrigins::default(),
             retry_budgets: Vec::new(),
         };
         let connections = ConnectionPool::new(settings.tuning.target_idle_timeout);
@@ -228,6 +241,8 @@
             idempotent_request_ended: Notify::new(),
             key_lease,
             collector: RefCell::new(None),
+            version_listed: Notify::new(),
+            origin_queues: OriginQueues::default(),
             peers: Peers::default(),
             peer_bytes: ByteCounter::default(),
         })
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -20,6 +20,9 @@
     pub key: Option<CompactString>,
     /// Number of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the stream, when the caller takes it up;
+    /// empty if it cannot be read.
+    pub resumes: Option<CompactString>,
     /// Prompt parts in order. The last is specific to this request; earlier ones may be shared.
     pub parts: Vec<PromptPart>,
     /// Trace context sent by the caller.
--- a/crates/edge/src/history/cause.rs
+++ b/crates/edge/src/history/cause.rs
@@ -188,12 +188,12 @@
     (
         "stream_version_gone",
         "no target in use has the software version that began the stream, so that none can go on with it",
-        "look for its stream_version events: the version and how the daemon knew it; compare it with the target_listed events",
+        "look for its stream_taken_up and sent events: the version and how the daemon knew it; compare it with the target_listed events",
     ),
     (
         "stream_origin_unknown",
         "targets have different software versions, and no daemon that was asked knew at which one the stream began",
-        "look for its stream_version event: what the caller named and which daemons were asked; look for the request that it names",
+        "look for its stream_taken_up event: what the caller named and which daemons were asked; look for the request that it names",
     ),
     (
         "time_up",
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod start;
 mod status;
 mod store;
+mod streams;
 
 pub use clock::boot_clock;
 pub use context::Edge;
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -227,7 +227,7 @@
             Ok(Ok(())) => {}
             Ok(Err(error)) => self.permit_peer_failed(daemon, &error.to_string()),
             Err(_) => {
-                self.permit_peer_failed(daemon, "the daemon did not answer within the timeout")
+                self.permit_peer_failed(daemon, "the daemon did not answer within the timeout");
             }
         }
     }
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -8,7 +8,7 @@
 use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
 use lapismoor_core::admission::{Belief, Priority, Refusal, SuspectKind};
-use lapismoor_core::ids::{Fingerprint, ServiceId, TargetKey, hash_parts};
+use lapismoor_core::ids::{Fingerprint, ServiceId, StreamKey, TargetKey, hash_parts, stream_key};
 use lapismoor_core::membership::{KnownTarget, TargetIncarnation};
 use lapismoor_core::retry::{
     AttemptCounts, AttemptEnd, MAX_SOUND_SILENCE, NextStep, Obstacle, OverdueRequest, RetryPolicy,
@@ -382,7 +382,24 @@
         }
         self.is_delivering = true;
         let version = self.edge.version_of(target);
-        self.version.set(self.version.get().bind(version));
+        let bound = self.version.get().bind(version);
+        self.version.set(bound);
+        if let VersionBinding::Only(version) = bound
+            && self.request.route.is_resumable()
+        {
+            let request = &self.request;
+            let timeout = request.envelope.deadline.unwrap_or_default();
+            let timeout = timeout.max(request.route.timeout);
+            let stream = self.stream_key(&request.envelope.id);
+            self.edge
+                .stream_began(stream, version, &request.service, timeout);
+        }
+    }
+
+    /// Names a stream of the caller's workspace by the request that brought its first event.
+    pub(crate) fn stream_key(&self, request: &str) -> StreamKey {
+        let workspace = self.request.workspace.as_deref().unwrap_or_default();
+        stream_key(workspace, request)
     }
 
     /// Whether another target may get the request while the current attempt is open.
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod job;
 mod report;
 mod responses;
+mod resumption;
 mod run;
 mod stream_forwarder;
 mod suspicion;
@@ -172,12 +173,18 @@
     /// Replaces `refusal` by `StaleConfiguration` if the store was not heard from for too long: a
     /// route or key that is unknown here may then be in the store already.
     fn unless_stale(&self, refusal: Refusal) -> Refusal {
+        if self.has_current_list() {
+            refusal
+        } else {
+            Refusal::StaleConfiguration
+        }
+    }
+
+    /// Whether the copy of the store is as new as changes have to be applied.
+    pub(crate) fn has_current_list(&self) -> bool {
         let within = self.settings.limits.config_within + self.settings.tuning.store_timeout;
         let state = self.state.borrow();
-        if state.freshness.is_older_than(self.now(), within) {
-            return Refusal::StaleConfiguration;
-        }
-        refusal
+        !state.freshness.is_older_than(self.now(), within)
     }
 }
 
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -6,7 +6,7 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::Refusal;
 use lapismoor_core::admission::suspects::{Judgement, Standing};
-use lapismoor_core::ids::{TargetId, TargetKey};
+use lapismoor_core::ids::{TargetId, TargetKey, VersionHash};
 use lapismoor_core::retry::{NextStep, Obstacle};
 use lapismoor_core::routing::{Choice, shared_prompt_parts};
 
@@ -16,6 +16,10 @@
 use crate::context::Edge;
 use crate::millis::millis;
 use crate::store::ClaimResult;
+use crate::streams::FoundStream;
+
+/// Length to which the request that a caller names is shortened in logs.
+const MAX_ID_CHARS: usize = 64;
 
 /// Reports an admitted request that was refused. No target ran it.
 pub(crate) fn job_refused(job: &Job, refusal: &Refusal) {
@@ -332,3 +336,27 @@
         "caller_left"
     );
 }
+
+/// Reports what is known of the stream that a caller takes up, and the version at which it goes on.
+pub(super) fn stream_taken_up(job: &Job, found: &FoundStream, version: Option<VersionHash>) {
+    let edge = &job.edge;
+    let envelope = &job.request.envelope;
+    let resumes = envelope.resumes.as_deref().unwrap_or_default();
+    let end = resumes.char_indices().nth(MAX_ID_CHARS);
+    let source = match (&found.origin, version) {
+        (Some((_, daemon)), _) => daemon.as_str(),
+        (None, Some(_)) => "only_version",
+        (None, None) => "none",
+    };
+    log::info!(
+        request:% = envelope.id,
+        resumes = end.map_or(resumes, |(end, _)| &resumes[..end]),
+        last_event = envelope.last_event,
+        version = version.map(|version| edge.version_name(version).to_string()),
+        source,
+        asked = found.asked as u64,
+        answered = found.answered as u64,
+        held_ms = millis(edge.now().saturating_sub(job.request.received));
+        "stream_taken_up"
+    );
+}
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -13,6 +13,7 @@
 use super::attempt::{self, Answer, BufferedAnswer, FailedAttempt};
 use super::job::Job;
 use super::report;
+use super::resumption::bind_to_origin;
 use super::stream_forwarder::StreamForwarder;
 use super::takeover;
 use crate::store::share_now;
@@ -64,6 +65,9 @@
     if let Some(banned_for) = job.crash_ban().await {
         return refuse(&job, Refusal::CrashesTargets { banned_for });
     }
+    if let Err(refusal) = bind_to_origin(&job).await {
+        return refuse(&job, refusal);
+    }
     if let Err(refusal) = job.acquire_permit().await {
         return refuse(&job, refusal);
     }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -28,8 +28,9 @@
 use crate::status::Status;
 use crate::store::{
     StoreClient, announce, exchange_between_collectors, exchange_observations, follow,
-    mirror_source, share_suspects,
+    mark_versions, mirror_source, share_suspects,
 };
+use crate::streams::share_streams;
 
 /// Interval between removals of expired entries and idle connections.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
@@ -115,6 +116,8 @@
     rt::spawn(watch_targets(Rc::clone(&edge)));
     rt::spawn(exchange_observations(Rc::clone(&edge)));
     rt::spawn(exchange_between_collectors(Rc::clone(&edge)));
+    rt::spawn(share_streams(Rc::clone(&edge)));
+    rt::spawn(mark_versions(Rc::clone(&edge)));
     rt::spawn(run_housekeeping(Rc::clone(&edge)));
     log::info!(
         caller_address:% = edge.settings.caller_address,
@@ -219,6 +222,7 @@
         let now = edge.now();
         edge.connections.close_expired(now);
         edge.peers.close_idle(now);
+        edge.sweep_streams(now);
         edge.state.borrow_mut().ledger.sweep(now);
         let (expired, refuted) = {
             let mut state = edge.state.borrow_mut();
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -5,7 +5,8 @@
 
 use lapismoor_core::Moment;
 use lapismoor_core::config::{Accepted, Offered};
-use lapismoor_core::membership::{DaemonRecord, DirectoryChange, TargetEntry};
+use lapismoor_core::ids::version_hash;
+use lapismoor_core::membership::{DaemonRecord, DirectoryChange, ServiceVersion, TargetEntry};
 use lapismoor_core::routing::RoutingConfig;
 
 use super::update::StoreUpdate;
@@ -43,6 +44,12 @@
             log::warn!(key:%, reason:%; "suspects_unreadable");
         }
         StoreUpdate::Trial(trial) => edge.state.borrow_mut().suspects.record_trial(now, trial),
+        StoreUpdate::VersionMark { version, mark } => {
+            let versions = &mut edge.state.borrow_mut().versions;
+            if versions.set_mark(now, version, mark) {
+                edge.version_listed.notify_one();
+            }
+        }
         StoreUpdate::Daemon(record) => apply_daemon(edge, now, record, cause),
         // Its announcement may be lost while it still runs.
         StoreUpdate::DaemonGone { .. } if cause == Cause::Restored => {}
@@ -103,6 +110,10 @@
         .directory
         .find(&id)
         .map(|target| target.entry.incarnation());
+    let version_key = ServiceVersion::new(&entry.service, version_hash(&entry.version));
+    if state.versions.record(now, version_key) {
+        edge.version_listed.notify_one();
+    }
     let change = if cause == Cause::Restored {
         state.directory.apply_restored(now, entry)
     } else {
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -24,6 +24,8 @@
     let for_exchange = Rc::clone(edge);
     let for_permits = Rc::clone(edge);
     let for_limits = Rc::clone(edge);
+    let for_streams = Rc::clone(edge);
+    let for_lookups = Rc::clone(edge);
     MirrorSource {
         list: Rc::new(move || {
             let edge = Rc::clone(&for_list);
@@ -39,6 +41,8 @@
         }),
         take_permit: Rc::new(move |request| for_permits.answer_permit(&request)),
         tell_limits: Rc::new(move |limits| for_limits.merge_limits(&limits, OTHER_DAEMON)),
+        tell_streams: Rc::new(move |streams| for_streams.keep_origins(&streams)),
+        find_stream: Rc::new(move |stream| for_lookups.find_origin(stream)),
     }
 }
 
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -12,6 +12,7 @@
 mod suspects;
 pub(crate) mod trials;
 mod update;
+mod version_marks;
 
 pub(crate) use announce::announce;
 pub use client::{Changes, Consistency, StoreCall, StoreClient, StoreError};
@@ -22,3 +23,4 @@
 pub(crate) use suspects::{share_now, share_suspects};
 pub(crate) use trials::ClaimResult;
 pub use update::StoreUpdate;
+pub(crate) use version_marks::mark_versions;
--- a/crates/edge/src/store/update.rs
+++ b/crates/edge/src/store/update.rs
@@ -6,7 +6,7 @@
 use lapismoor_core::admission::{Evidence, TrialRecord};
 use lapismoor_core::config::Accepted;
 use lapismoor_core::ids::{DaemonId, TargetId};
-use lapismoor_core::membership::{DaemonRecord, TargetEntry};
+use lapismoor_core::membership::{DaemonRecord, Mark, ServiceVersion, TargetEntry};
 use lapismoor_core::routing::RoutingConfig;
 
 /// One decoded update from the store.
@@ -48,6 +48,13 @@
     },
     /// A daemon claimed a trial of a request.
     Trial(TrialRecord),
+    /// The mark of a software version was written or removed.
+    VersionMark {
+        /// The version.
+        version: ServiceVersion,
+        /// Its mark now.
+        mark: Mark,
+    },
     /// A daemon was announced.
     Daemon(DaemonRecord),
     /// A daemon's announcement expired or was removed.
--- /dev/null
+++ b/crates/edge/src/streams.rs
@@ -0,0 +1,270 @@
+//! Tells other daemons where streams began, and asks them.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::rt;
+use compact_str::CompactString;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use lapismoor_core::Moment;
+use lapismoor_core::ids::{DaemonId, StreamKey, VersionHash};
+use lapismoor_core::membership::{DaemonRecord, PossibleVersions};
+use lapismoor_core::stream::{StreamOrigin, origin_holders, stream_lifetime};
+
+use crate::context::{Edge, short_version};
+
+/// Timeout of a call that tells or asks for streams, with the connection: a caller waits meanwhile.
+const CALL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum number of streams that are told in one call.
+const MAX_TOLD: usize = 1_024;
+/// Maximum number of streams that wait to be told to one daemon; beyond it, none is added.
+const MAX_WAITING: usize = 16_384;
+/// Timeout of streams without a route, for the time for which their versions count.
+const UNKNOWN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Streams that wait to be told to other daemons.
+#[derive(Default)]
+pub struct OriginQueues {
+    /// The daemons with a call in progress. Invariant: sorted by daemon.
+    queues: RefCell<Vec<(DaemonId, Vec<StreamOrigin>)>>,
+}
+
+impl OriginQueues {
+    /// Adds streams to the queue of a daemon. Returns whether a task has to begin to tell them.
+    fn add(&self, daemon: &DaemonId, streams: &[StreamOrigin]) -> bool {
+        let mut queues = self.queues.borrow_mut();
+        match queues.binary_search_by(|(id, _)| id.cmp(daemon)) {
+            Ok(position) => {
+                let waiting = &mut queues[position].1;
+                let room = MAX_WAITING.saturating_sub(waiting.len());
+                waiting.extend(streams.iter().take(room));
+                false
+            }
+            Err(position) => {
+                queues.insert(position, (daemon.clone(), streams.to_vec()));
+                true
+            }
+        }
+    }
+
+    /// Takes the streams of the next call to a daemon. Removes its queue if there is none.
+    fn take(&self, daemon: &DaemonId) -> Vec<StreamOrigin> {
+        let mut queues = self.queues.borrow_mut();
+        let Ok(position) = queues.binary_search_by(|(id, _)| id.cmp(daemon)) else {
+            return Vec::new();
+        };
+        let waiting = &mut queues[position].1;
+        if waiting.is_empty() {
+            queues.remove(position);
+            return Vec::new();
+        }
+        let count = waiting.len().min(MAX_TOLD);
+        waiting.drain(..count).collect()
+    }
+
+    fn remove(&self, daemon: &DaemonId) {
+        self.queues.borrow_mut().retain(|(id, _)| id != daemon);
+    }
+}
+
+/// What the daemons know of a stream that a caller takes up.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct FoundStream {
+    /// Version that began it, and the daemon that knew it.
+    pub origin: Option<(VersionHash, DaemonId)>,
+    /// Other daemons that hold such streams.
+    pub asked: usize,
+    /// Those that answered.
+    pub answered: usize,
+}
+
+impl Edge {
+    /// Records that a stream began at a target with this version, and tells other daemons while
+    /// targets of several versions serve.
+    pub(crate) fn stream_began(
+        self: &Rc<Self>,
+        stream: StreamKey,
+        version: VersionHash,
+        service: &str,
+        timeout: Duration,
+    ) {
+        let now = self.now();
+        let origin = StreamOrigin {
+            stream,
+            version,
+            lifetime: stream_lifetime(timeout),
+        };
+        self.state.borrow_mut().origins.record(now, &origin, true);
+        if self.possible_versions(service) == PossibleVersions::Several {
+            self.tell_streams(&[origin]);
+        }
+    }
+
+    /// Keeps where another daemon has begun streams.
+    pub(crate) fn keep_origins(&self, streams: &[StreamOrigin]) {
+        let now = self.now();
+        let origins = &mut self.state.borrow_mut().origins;
+        for origin in streams {
+            origins.record(now, origin, false);
+        }
+    }
+
+    /// The version that began a stream, as far as this daemon knows.
+    pub(crate) fn find_origin(&self, stream: StreamKey) -> Option<VersionHash> {
+        self.state.borrow().origins.find(self.now(), stream)
+    }
+
+    /// The versions at which a stream of a service may have begun.
+    pub(crate) fn possible_versions(&self, service: &str) -> PossibleVersions {
+        let lifetime = self.lifetime_of_streams(service);
+        let state = self.state.borrow();
+        state.versions.possible(self.now(), service, lifetime)
+    }
+
+    /// Time for which callers may take up a stream of a service.
+    pub(crate) fn lifetime_of_streams(&self, service: &str) -> Duration {
+        let state = self.state.borrow();
+        let config = state.config.get();
+        let timeout = config.and_then(|config| config.resumable_timeout(service));
+        stream_lifetime(timeout.unwrap_or(UNKNOWN_TIMEOUT))
+    }
+
+    /// The name of a version, for logs: its text if a target with it is known.
+    pub(crate) fn version_name(&self, version: VersionHash) -> CompactString {
+        let state = self.state.borrow();
+        let mut targets = state.directory.targets().iter();
+        let known = targets.find(|target| target.version == version);
+        match known {
+            Some(target) => short_version(&target.entry.version).into(),
+            None => compact_str::format_compact!("{version:016x}"),
+        }
+    }
+
+    /// Forgets streams and versions that no caller can take up any more.
+    pub(crate) fn sweep_streams(&self, now: Moment) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        state.versions.record_listed(now, &state.directory);
+        state.versions.sweep(now, stream_lifetime(Duration::MAX));
+        state.origins.sweep(now);
+    }
+
+    /// Finds where a stream began, at this daemon or at those that hold it.
+    pub(crate) async fn find_stream(&self, stream: StreamKey) -> FoundStream {
+        if let Some(version) = self.find_origin(stream) {
+            return FoundStream {
+                origin: Some((version, self.settings.daemon.clone())),
+                ..FoundStream::default()
+            };
+        }
+        let holders = self.other_holders(stream);
+        let asking = holders.iter().map(|daemon| async move {
+            let answer = self.ask_for_stream(daemon, stream).await;
+            (daemon, answer)
+        });
+        let mut asking: FuturesUnordered<_> = asking.collect();
+        let mut found = FoundStream {
+            asked: holders.len(),
+            ..FoundStream::default()
+        };
+        while let Some((daemon, answer)) = asking.next().await {
+            found.answered += usize::from(answer.is_some());
+            if let Some(version) = answer.flatten() {
+                found.origin = Some((version, daemon.id.clone()));
+                break;
+            }
+        }
+        found
+    }
+
+    /// The answer of a daemon to whether it knows a stream; `None` if it gave none.
+    async fn ask_for_stream(
+        &self,
+        daemon: &DaemonRecord,
+        stream: StreamKey,
+    ) -> Option<Option<VersionHash>> {
+        if self.peers.is_backed_off(self.now(), daemon) {
+            return None;
+        }
+        let call = async {
+            let connection = self.peer_connection(daemon).await?;
+            connection.find_stream(stream).await
+        };
+        match tokio::time::timeout(CALL_TIMEOUT, call).await {
+            Ok(Ok(answer)) => return Some(answer),
+            Ok(Err(error)) => log_not_answered(daemon, "find", &error.to_string()),
+            Err(_) => log_not_answered(daemon, "find", TIMED_OUT),
+        }
+        self.peer_failed(daemon);
+        None
+    }
+
+    /// Tells streams of this daemon to the daemons that hold them.
+    fn tell_streams(self: &Rc<Self>, streams: &[StreamOrigin]) {
+        for stream in streams {
+            for daemon in self.other_holders(stream.stream) {
+                if self.origin_queues.add(&daemon.id, &[*stream]) {
+                    rt::spawn(tell_waiting(Rc::clone(self), daemon));
+                }
+            }
+        }
+    }
+
+    fn other_holders(&self, stream: StreamKey) -> Vec<DaemonRecord> {
+        let state = self.state.borrow();
+        let holders = origin_holders(stream, &state.daemons).into_iter();
+        let others = holders.filter(|daemon| daemon.id != self.settings.daemon);
+        others.cloned().collect()
+    }
+}
+
+const TIMED_OUT: &str = "the daemon did not answer within the timeout";
+
+fn log_not_answered(daemon: &DaemonRecord, call: &str, reason: &str) {
+    log::info!(peer:% = daemon.id, call, reason; "stream_call_not_answered");
+}
+
+/// Tells a daemon the streams in its queue until there are none. What comes up during a call is
+/// gathered for the next one.
+async fn tell_waiting(edge: Rc<Edge>, daemon: DaemonRecord) {
+    loop {
+        let streams = edge.origin_queues.take(&daemon.id);
+        if streams.is_empty() {
+            return;
+        }
+        if !tell(&edge, &daemon, &streams).await {
+            edge.origin_queues.remove(&daemon.id);
+            return;
+        }
+    }
+}
+
+/// Returns whether the daemon took the streams. Other holders have them if not.
+async fn tell(edge: &Edge, daemon: &DaemonRecord, streams: &[StreamOrigin]) -> bool {
+    if edge.peers.is_backed_off(edge.now(), daemon) {
+        return false;
+    }
+    let call = async {
+        let connection = edge.peer_connection(daemon).await?;
+        connection.tell_streams(streams).await
+    };
+    match tokio::time::timeout(CALL_TIMEOUT, call).await {
+        Ok(Ok(())) => return true,
+        Ok(Err(error)) => log_not_answered(daemon, "tell", &error.to_string()),
+        Err(_) => log_not_answered(daemon, "tell", TIMED_OUT),
+    }
+    edge.peer_failed(daemon);
+    false
+}
+
+/// Tells the streams of this daemon that began while one version served, whenever another version
+/// is listed, for as long as the daemon runs.
+pub(crate) async fn share_streams(edge: Rc<Edge>) {
+    loop {
+        edge.version_listed.notified().await;
+        let own = edge.state.borrow().origins.own(edge.now());
+        edge.tell_streams(&own);
+    }
+}
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -20,6 +20,23 @@
 
   tellLimits @5 (limits :List(TargetLimit)) -> ();
   # Limits that have changed.
+
+  tellStreams @6 (streams :List(StreamOrigin)) -> ();
+  # Streams that the caller has begun.
+
+  findStream @7 (stream :UInt64) -> (isKnown :Bool, version :UInt64);
+  # The software version that began a stream.
+}
+
+struct StreamOrigin {
+  stream @0 :UInt64;
+  # Hash of workspace and request id.
+
+  version @1 :UInt64;
+  # Hash of the software version of the target that began it.
+
+  lifetimeMs @2 :UInt32;
+  # Time left in which its caller may come back.
 }
 
 struct Answer {
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -5,9 +5,10 @@
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use lapismoor_core::admission::target_limits::{PermitAnswer, PermitRequest, TargetLimit};
-use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::ids::{StoreRevision, StreamKey, VersionHash};
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations};
+use lapismoor_core::stream::StreamOrigin;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpStream;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -18,6 +19,7 @@
 use crate::limits::{self, write_limits, write_request};
 use crate::mirror_capnp::{answer, store_mirror};
 use crate::observations::{read_sample, write_observations};
+use crate::streams::write_streams;
 
 /// Timeout for a new connection; daemons that serve each other are in one region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -179,6 +181,30 @@
         call.send().promise.await.context(CallSnafu)?;
         Ok(())
     }
+
+    /// Tells where streams have begun.
+    ///
+    /// # Errors
+    /// [`MirrorError::Call`] if the call fails.
+    pub async fn tell_streams(&self, streams: &[StreamOrigin]) -> Result<(), MirrorError> {
+        let mut call = self.mirror.tell_streams_request();
+        let count = u32::try_from(streams.len()).unwrap_or(u32::MAX);
+        write_streams(streams, call.get().init_streams(count));
+        call.send().promise.await.context(CallSnafu)?;
+        Ok(())
+    }
+
+    /// Asks for the software version that began a stream; `None` if the daemon does not know it.
+    ///
+    /// # Errors
+    /// [`MirrorError::Call`] if the call fails.
+    pub async fn find_stream(&self, stream: StreamKey) -> Result<Option<VersionHash>, MirrorError> {
+        let mut call = self.mirror.find_stream_request();
+        call.get().set_stream(stream);
+        let response = call.send().promise.await.context(CallSnafu)?;
+        let results = response.get().context(CallSnafu)?;
+        Ok(results.get_is_known().then(|| results.get_version()))
+    }
 }
 
 fn read_answer(answer: answer::Reader<'_>) -> Result<MirrorAnswer, MirrorError> {
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod observations;
 mod server;
+mod streams;
 
 /// Code generated from `schema/mirror.capnp`.
 #[path = "generated/mirror_capnp.rs"]
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -6,9 +6,10 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::future::LocalBoxFuture;
 use lapismoor_core::admission::target_limits::{PermitAnswer, PermitRequest, TargetLimit};
-use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::ids::{StoreRevision, StreamKey, VersionHash};
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations};
+use lapismoor_core::stream::StreamOrigin;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -18,6 +19,7 @@
 use crate::limits::{self, read_limits, read_request};
 use crate::mirror_capnp::{answer, store_mirror};
 use crate::observations::{read_observations, write_sample};
+use crate::streams::read_streams;
 
 /// Delay after a failed accept, so that file descriptors can become free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -40,6 +42,10 @@
     pub take_permit: Rc<dyn Fn(PermitRequest) -> PermitAnswer>,
     /// Merges limits that another daemon learned.
     pub tell_limits: Rc<dyn Fn(Vec<TargetLimit>)>,
+    /// Keeps where another daemon has begun streams.
+    pub tell_streams: Rc<dyn Fn(Vec<StreamOrigin>)>,
+    /// Finds the software version that began a stream.
+    pub find_stream: Rc<dyn Fn(StreamKey) -> Option<VersionHash>>,
 }
 
 /// Accepts connections from other daemons forever and adds the bytes exchanged to `counter`. Must
@@ -156,8 +162,34 @@
         (self.source.tell_limits)(read_limits(params.get()?.get_limits()?));
         Ok(())
     }
+
+    async fn tell_streams(
+        self: Rc<Self>,
+        params: store_mirror::TellStreamsParams,
+        _: store_mirror::TellStreamsResults,
+    ) -> capnp::Result<()> {
+        let streams = params.get()?.get_streams()?;
+        if streams.len() > MAX_STREAMS {
+            return Err(capnp::Error::failed("too many streams in one call".into()));
+        }
+        (self.source.tell_streams)(read_streams(streams));
+        Ok(())
+    }
+
+    async fn find_stream(
+        self: Rc<Self>,
+        params: store_mirror::FindStreamParams,
+        mut results: store_mirror::FindStreamResults,
+    ) -> capnp::Result<()> {
+        let found = (self.source.find_stream)(params.get()?.get_stream());
+        results.get().set_is_known(found.is_some());
+        results.get().set_version(found.unwrap_or_default());
+        Ok(())
+    }
 }
 
+/// Longest list of streams in one call.
+const MAX_STREAMS: u32 = 4_096;
 /// Longest list of reported records; a daemon reports one at a time.
 const MAX_REPORTED: u32 = 64;
 
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -13,6 +13,7 @@
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations, PartRequests, PartShare, TargetLoad};
+use lapismoor_core::stream::StreamOrigin;
 use lapismoor_mirror::{ByteCounter, MirrorAnswer, MirrorClient, MirrorError, MirrorSource, serve};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -54,6 +55,8 @@
             permit_answer()
         }),
         tell_limits: Rc::new(|limits| assert_eq!(limits, self::limits())),
+        tell_streams: Rc::new(|streams| assert_eq!(streams, self::streams())),
+        find_stream: Rc::new(|stream| (stream == u64::MAX).then_some(u64::MAX - 1)),
     }
 }
 
@@ -67,6 +70,15 @@
     vec![limit(u32::MAX, Some(2.8), 0), limit(7, None, 65_600)]
 }
 
+fn streams() -> Vec<StreamOrigin> {
+    let origin = |stream, version, lifetime_ms| StreamOrigin {
+        stream,
+        version,
+        lifetime: Duration::from_millis(lifetime_ms),
+    };
+    vec![origin(u64::MAX, 0, 600_000), origin(0, u64::MAX, 0)]
+}
+
 fn permit_request() -> PermitRequest {
     PermitRequest {
         limit: limits()[0],
@@ -225,6 +237,21 @@
         .await;
 }
 
+#[tokio::test]
+async fn streams_arrive_unchanged_and_are_found() {
+    LocalSet::new()
+        .run_until(async {
+            let client = connected_client().await;
+            let told = client.tell_streams(&streams()).await;
+            told.expect("the call succeeds");
+            let found = client.find_stream(u64::MAX).await;
+            assert_eq!(found.expect("the call succeeds"), Some(u64::MAX - 1));
+            let unknown = client.find_stream(7).await;
+            assert_eq!(unknown.expect("the call succeeds"), None);
+        })
+        .await;
+}
+
 /// Control may cost a daemon 6 KB/s, and a daemon asks for 16 permits per second while all targets
 /// have limits.
 #[tokio::test]
