Record unfinished streams in the store, so that they go on after all daemons were killed

Cause: the origin of a stream was in the memory of daemons only, and all of them may end at the same moment.

Change: while several versions may have served, each daemon of a small fleet writes its unfinished streams to one record of its own, every 300 ms if they have changed; in a large one those that read the store do, for the daemons that read through them: these send theirs along with their observations, so that the number of writes does not grow with the fleet. A daemon that starts reads the records with its first list. Running daemons of a large fleet do not get them, as they ask for a stream. The record ends with its lease.

--- a/crates/core/src/membership/versions.rs
+++ b/crates/core/src/membership/versions.rs
@@ -173,8 +173,7 @@
         let first = self.seen.partition_point(|seen| seen.key.service < service);
         let of_service = self.seen[first..].iter();
         let of_service = of_service.take_while(|seen| seen.key.service == service);
-        let mut possible = of_service
-            .filter(|seen| seen.is_marked() || now.saturating_sub(seen.seen_at) < lifetime);
+        let mut possible = of_service.filter(|seen| seen.is_possible(now, lifetime));
         match (possible.next(), possible.next()) {
             (None, _) => PossibleVersions::None,
             (Some(only), None) => PossibleVersions::One(only.key.version),
@@ -182,10 +181,18 @@
         }
     }
 
+    /// Whether several versions of any service are possible.
+    #[must_use]
+    pub fn has_several(&self, now: Moment, lifetime: Duration) -> bool {
+        let is_possible = |seen: &&SeenVersion| seen.is_possible(now, lifetime);
+        let mut previous = None;
+        let mut possible = self.seen.iter().filter(is_possible);
+        possible.any(|seen| previous.replace(seen.key.service) == Some(seen.key.service))
+    }
+
     /// Forgets versions without a mark of which no target was listed for `lifetime`.
     pub fn sweep(&mut self, now: Moment, lifetime: Duration) {
-        self.seen
-            .retain(|seen| seen.is_marked() || now.saturating_sub(seen.seen_at) < lifetime);
+        self.seen.retain(|seen| seen.is_possible(now, lifetime));
     }
 
     fn update(
@@ -225,8 +232,9 @@
 }
 
 impl SeenVersion {
-    fn is_marked(&self) -> bool {
-        self.mark != Mark::Missing
+    /// Whether a caller may take up a stream that began at the version.
+    fn is_possible(&self, now: Moment, lifetime: Duration) -> bool {
+        self.mark != Mark::Missing || now.saturating_sub(self.seen_at) < lifetime
     }
 }
 
--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -16,6 +16,7 @@
 use crate::membership::{Directory, KnownTarget, TargetIncarnation};
 use crate::routing::choice::Chooser;
 use crate::routing::popularity::{PartRequests, PartShare};
+use crate::stream::StreamOrigin;
 
 /// Longest list of loads in one message; the freshest ones are kept. With 8 bytes each, once per
 /// [`EXCHANGE_INTERVAL`], they take two thirds of the 6 KB/s that control may cost a daemon.
@@ -62,6 +63,8 @@
         pub requests: Vec<(ServiceHash, Vec<PartRequests>)>,
         /// Limits of targets that have changed.
         pub limits: Vec<TargetLimit>,
+        /// Unfinished streams, to be written to the store.
+        pub streams: Vec<StreamOrigin>,
     }
 
     /// Merged observations of several daemons.
@@ -91,6 +94,7 @@
         requests: requests.collect(),
         loads: loads(now, since, directory, |target| target.load.is_own_report()),
         limits: changed_limits(now, since, directory),
+        streams: Vec::new(),
     }
 }
 
@@ -103,6 +107,7 @@
         requests: Vec::new(),
         loads: loads(now, since, directory, |_| true),
         limits: changed_limits(now, since, directory),
+        streams: Vec::new(),
     }
 }
 
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -49,6 +49,15 @@
             /// Lease that the record is bound to; the store deletes the record when it expires.
             lease: Option<LeaseId>,
         },
+        /// Writes a record, whatever its version is.
+        Put {
+            /// Key to write.
+            key: RecordKey,
+            /// New value of the record.
+            value: Bytes,
+            /// Lease that the record is bound to.
+            lease: LeaseId,
+        },
         /// Creates a lease.
         GrantLease {
             /// Time after which the lease expires.
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -5,5 +5,5 @@
 pub mod version;
 
 pub use events::EventSplitter;
-pub use origins::{StreamOrigin, StreamOrigins, origin_holders, stream_lifetime};
+pub use origins::{OriginSource, StreamOrigin, StreamOrigins, origin_holders, stream_lifetime};
 pub use version::VersionBinding;
--- a/crates/core/src/stream/origins.rs
+++ b/crates/core/src/stream/origins.rs
@@ -5,10 +5,13 @@
 //! origin to a few others, which every daemon can name from the list of daemons. Any daemon asks
 //! these. The number of messages per stream does not grow with the fleet.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
+use compact_str::{CompactString, format_compact};
+
 use crate::clock::Moment;
-use crate::ids::{FailureDomain, StreamKey, VersionHash, hash_parts};
+use crate::ids::{DaemonId, FailureDomain, Incarnation, StreamKey, VersionHash, hash_parts};
 use crate::membership::{DaemonRecord, is_small_fleet};
 
 /// Failure domains whose daemons hold the origin of a stream in a large fleet.
@@ -29,6 +32,13 @@
 /// Maximum number of origins that are kept; beyond it, none is added.
 const MAX_ORIGINS: usize = 200_000;
 
+/// Maximum number of streams that a daemon writes to the store.
+const MAX_UNFINISHED: usize = 4_096;
+/// Time for which a relayed stream is written to the store after it was last relayed.
+const RELAYED_RETENTION: Duration = Duration::from_secs(5);
+/// Key prefix of the records of streams in the store.
+const RECORD_PREFIX: &str = "lapismoor/streams/";
+
 value! {
     /// The software version that began a stream.
     #[derive(Copy)]
@@ -49,6 +59,23 @@
     expires_at: Moment,
     /// Whether the stream began at this daemon.
     is_own: bool,
+    /// Whether all of its events were forwarded.
+    is_finished: bool,
+    /// When another daemon last sent it to be written to the store.
+    relayed_at: Option<Moment>,
+}
+
+value! {
+    /// How a daemon learned of an origin.
+    #[derive(Copy)]
+    pub enum OriginSource {
+        /// The stream began there.
+        Own,
+        /// Another daemon or the store told it.
+        Told,
+        /// Another daemon, which does not write to the store itself, has the stream in progress.
+        Relayed,
+    }
 }
 
 /// Origins that this daemon knows.
@@ -60,25 +87,38 @@
 
 impl StreamOrigins {
     /// Records where a stream began. The origin of a stream does not change.
-    pub fn record(&mut self, now: Moment, origin: &StreamOrigin, is_own: bool) {
+    pub fn record(&mut self, now: Moment, origin: &StreamOrigin, source: OriginSource) {
         let lifetime = origin.lifetime.clamp(MIN_LIFETIME, MAX_LIFETIME);
         let expires_at = now + lifetime;
-        match self.position(origin.stream) {
-            Ok(position) => {
-                let known = &mut self.known[position];
-                known.expires_at = known.expires_at.max(expires_at);
-                known.is_own |= is_own;
-            }
-            Err(_) if self.known.len() >= MAX_ORIGINS => {}
-            Err(position) => self.known.insert(
-                position,
-                KnownOrigin {
+        let position = match self.position(origin.stream) {
+            Ok(position) => position,
+            Err(_) if self.known.len() >= MAX_ORIGINS => return,
+            Err(position) => {
+                let known = KnownOrigin {
                     stream: origin.stream,
                     version: origin.version,
                     expires_at,
-                    is_own,
-                },
-            ),
+                    is_own: false,
+                    is_finished: false,
+                    relayed_at: None,
+                };
+                self.known.insert(position, known);
+                position
+            }
+        };
+        let known = &mut self.known[position];
+        known.expires_at = known.expires_at.max(expires_at);
+        match source {
+            OriginSource::Own => known.is_own = true,
+            OriginSource::Told => {}
+            OriginSource::Relayed => known.relayed_at = Some(now),
+        }
+    }
+
+    /// Records that all events of a stream were forwarded.
+    pub fn finish(&mut self, stream: StreamKey) {
+        if let Ok(position) = self.position(stream) {
+            self.known[position].is_finished = true;
         }
     }
 
@@ -93,8 +133,27 @@
     /// The origins of the streams that began at this daemon.
     #[must_use]
     pub fn own(&self, now: Moment) -> Vec<StreamOrigin> {
-        let own = self.known.iter().filter(|known| known.is_own);
-        let origins = own.map(|known| StreamOrigin {
+        self.select(now, |known| known.is_own)
+    }
+
+    /// The origins of the streams at this daemon that are in progress or broke off, and of those
+    /// that were relayed to it a moment ago; the ones that end last, if there are many.
+    #[must_use]
+    pub fn unfinished(&self, now: Moment) -> Vec<StreamOrigin> {
+        let mut unfinished = self.select(now, |known| {
+            let is_relayed = |at| now.saturating_sub(at) < RELAYED_RETENTION;
+            (known.is_own && !known.is_finished) || known.relayed_at.is_some_and(is_relayed)
+        });
+        if unfinished.len() > MAX_UNFINISHED {
+            unfinished.sort_by_key(|origin| Reverse(origin.lifetime));
+            unfinished.truncate(MAX_UNFINISHED);
+        }
+        unfinished
+    }
+
+    fn select(&self, now: Moment, is_wanted: impl Fn(&KnownOrigin) -> bool) -> Vec<StreamOrigin> {
+        let wanted = self.known.iter().filter(|known| is_wanted(known));
+        let origins = wanted.map(|known| StreamOrigin {
             stream: known.stream,
             version: known.version,
             lifetime: known.expires_at.saturating_sub(now),
@@ -113,6 +172,56 @@
     }
 }
 
+/// Key of the record of a daemon's unfinished streams. A daemon that starts again does not
+/// overwrite the record of its predecessor.
+#[must_use]
+pub fn streams_record_key(daemon: &DaemonId, incarnation: Incarnation) -> CompactString {
+    format_compact!("{RECORD_PREFIX}{daemon}/{incarnation:016x}")
+}
+
+/// Whether a key of the store is that of a record of streams.
+#[must_use]
+pub fn is_streams_record_key(key: &str) -> bool {
+    key.starts_with(RECORD_PREFIX)
+}
+
+/// Bytes of one stream in a record: stream, version and lifetime in milliseconds.
+const ROW_BYTES: usize = 20;
+
+/// Encodes the value of a record of streams.
+#[must_use]
+pub fn encode_streams(streams: &[StreamOrigin]) -> Vec<u8> {
+    let mut value = Vec::with_capacity(streams.len() * ROW_BYTES);
+    for origin in streams {
+        let lifetime_ms = u32::try_from(origin.lifetime.as_millis()).unwrap_or(u32::MAX);
+        value.extend_from_slice(&origin.stream.to_le_bytes());
+        value.extend_from_slice(&origin.version.to_le_bytes());
+        value.extend_from_slice(&lifetime_ms.to_le_bytes());
+    }
+    value
+}
+
+/// Decodes the value of a record of streams; none if it has another length.
+#[must_use]
+pub fn decode_streams(value: &[u8]) -> Option<Vec<StreamOrigin>> {
+    let (rows, rest) = value.as_chunks::<ROW_BYTES>();
+    let origins = rows.iter().map(|row| {
+        let (stream, row) = row.split_first_chunk()?;
+        let (version, row) = row.split_first_chunk()?;
+        let (lifetime_ms, _) = row.split_first_chunk()?;
+        Some(StreamOrigin {
+            stream: u64::from_le_bytes(*stream),
+            version: u64::from_le_bytes(*version),
+            lifetime: Duration::from_millis(u32::from_le_bytes(*lifetime_ms).into()),
+        })
+    });
+    if rest.is_empty() {
+        origins.collect()
+    } else {
+        None
+    }
+}
+
 /// Time for which a stream may be taken up, and for which a version that served counts, if callers
 /// wait at most for `timeout`.
 #[must_use]
--- a/crates/core/tests/fleet_sample.rs
+++ b/crates/core/tests/fleet_sample.rs
@@ -206,6 +206,7 @@
         }],
         requests: vec![(1, requests)],
         limits: Vec::new(),
+        streams: Vec::new(),
     };
     merge_observations(at(10), &observations, &mut one.directory, &mut one.chooser);
     for id in ["i-0", "i-1", "i-2"] {
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -6,7 +6,10 @@
     DaemonRecord, Directory, Mark, PossibleVersions, ServiceVersion, TargetEntry, TargetState,
     VersionHistory,
 };
-use lapismoor_core::stream::{StreamOrigin, StreamOrigins, origin_holders, stream_lifetime};
+use lapismoor_core::stream::origins::{decode_streams, encode_streams};
+use lapismoor_core::stream::{
+    OriginSource, StreamOrigin, StreamOrigins, origin_holders, stream_lifetime,
+};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -114,9 +117,9 @@
 #[test]
 fn origin_does_not_change_and_ends_with_its_lifetime() {
     let mut origins = StreamOrigins::default();
-    origins.record(at(0), &origin(7, 1, at(20)), true);
-    origins.record(at(1), &origin(7, 2, at(25)), false);
-    origins.record(at(1), &origin(3, 2, at(25)), false);
+    origins.record(at(0), &origin(7, 1, at(20)), OriginSource::Own);
+    origins.record(at(1), &origin(7, 2, at(25)), OriginSource::Told);
+    origins.record(at(1), &origin(3, 2, at(25)), OriginSource::Told);
     assert_eq!(origins.find(at(25), 7), Some(1));
     assert_eq!(origins.find(at(1), 8), None);
     let own: Vec<u64> = origins.own(at(1)).iter().map(|own| own.stream).collect();
@@ -210,3 +213,37 @@
     assert_eq!(ServiceVersion::read_mark(Some(b"{}")), Mark::Serving);
     assert_eq!(ServiceVersion::read_mark(None), Mark::Missing);
 }
+
+/// Guards against records of streams that nobody takes up, and that lack those of other daemons.
+#[test]
+fn record_holds_the_unfinished_streams_of_this_daemon_and_those_relayed_to_it() {
+    let mut origins = StreamOrigins::default();
+    origins.record(at(0), &origin(1, 9, at(20)), OriginSource::Own);
+    origins.record(at(0), &origin(2, 9, at(20)), OriginSource::Own);
+    origins.record(at(0), &origin(3, 9, at(20)), OriginSource::Told);
+    origins.record(at(0), &origin(4, 9, at(20)), OriginSource::Relayed);
+    origins.finish(1);
+    let streams = |now| {
+        let unfinished = origins.unfinished(now);
+        unfinished
+            .iter()
+            .map(|origin| origin.stream)
+            .collect::<Vec<u64>>()
+    };
+    assert_eq!(streams(at(1)), [2, 4]);
+    assert_eq!(streams(at(6)), [2], "the daemon relays it no more");
+    assert_eq!(
+        origins.find(at(6), 1),
+        Some(9),
+        "its caller may not have got all of it"
+    );
+}
+
+#[test]
+fn record_of_streams_is_decoded() {
+    let streams = [origin(u64::MAX, 1, at(20)), origin(0, u64::MAX, at(600))];
+    let value = encode_streams(&streams);
+    assert_eq!(decode_streams(&value).expect("valid"), streams);
+    assert_eq!(decode_streams(&value[1..]), None);
+    assert_eq!(decode_streams(&[]), Some(Vec::new()));
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -87,6 +87,8 @@
     pub evidence_acknowledged: Notify,
     /// Store lease of the records about interrupted requests.
     pub suspects_lease: RecordLease,
+    /// Store lease of the record of unfinished streams.
+    pub streams_lease: RecordLease,
     /// Number of records about interrupted requests that are not in the store yet.
     pub unstored_evidence: Cell<usize>,
     /// Notified when a request under a ticket or idempotency key ends.
@@ -237,6 +239,7 @@
             attempt_interrupted: Notify::new(),
             evidence_acknowledged: Notify::new(),
             suspects_lease: RecordLease::default(),
+            streams_lease: RecordLease::default(),
             unstored_evidence: Cell::new(0),
             idempotent_request_ended: Notify::new(),
             key_lease,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -396,6 +396,12 @@
         }
     }
 
+    /// Records that all events were forwarded to the caller.
+    pub(crate) fn finish_stream(&self) {
+        let stream = self.stream_key(&self.request.envelope.id);
+        self.edge.stream_finished(stream);
+    }
+
     /// Names a stream of the caller's workspace by the request that brought its first event.
     pub(crate) fn stream_key(&self, request: &str) -> StreamKey {
         let workspace = self.request.workspace.as_deref().unwrap_or_default();
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -84,6 +84,7 @@
                 Ok(Step::End) => {
                     let target_id = forwarder.answer.target_id.clone();
                     forwarder.answer.release_connection(&forwarder.job);
+                    forwarder.job.finish_stream();
                     report::served(&forwarder.job, &target_id, 200);
                     None
                 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -28,7 +28,7 @@
 use crate::status::Status;
 use crate::store::{
     StoreClient, announce, exchange_between_collectors, exchange_observations, follow,
-    mark_versions, mirror_source, share_suspects,
+    mark_versions, mirror_source, record_streams, share_suspects,
 };
 use crate::streams::share_streams;
 
@@ -117,6 +117,7 @@
     rt::spawn(exchange_observations(Rc::clone(&edge)));
     rt::spawn(exchange_between_collectors(Rc::clone(&edge)));
     rt::spawn(share_streams(Rc::clone(&edge)));
+    rt::spawn(record_streams(Rc::clone(&edge)));
     rt::spawn(mark_versions(Rc::clone(&edge)));
     rt::spawn(run_housekeeping(Rc::clone(&edge)));
     log::info!(
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -8,6 +8,7 @@
 use lapismoor_core::ids::version_hash;
 use lapismoor_core::membership::{DaemonRecord, DirectoryChange, ServiceVersion, TargetEntry};
 use lapismoor_core::routing::RoutingConfig;
+use lapismoor_core::stream::OriginSource;
 
 use super::update::StoreUpdate;
 use crate::context::{Edge, short_version};
@@ -44,6 +45,7 @@
             log::warn!(key:%, reason:%; "suspects_unreadable");
         }
         StoreUpdate::Trial(trial) => edge.state.borrow_mut().suspects.record_trial(now, trial),
+        StoreUpdate::Streams(streams) => edge.keep_origins(&streams, OriginSource::Told),
         StoreUpdate::VersionMark { version, mark } => {
             let versions = &mut edge.state.borrow_mut().versions;
             if versions.set_mark(now, version, mark) {
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -8,6 +8,8 @@
 use lapismoor_core::Moment;
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
+use lapismoor_core::stream::OriginSource;
+use lapismoor_core::stream::origins::is_streams_record_key;
 use lapismoor_mirror::{MirrorAnswer, MirrorSource};
 
 use super::observations::take_exchange;
@@ -41,7 +43,9 @@
         }),
         take_permit: Rc::new(move |request| for_permits.answer_permit(&request)),
         tell_limits: Rc::new(move |limits| for_limits.merge_limits(&limits, OTHER_DAEMON)),
-        tell_streams: Rc::new(move |streams| for_streams.keep_origins(&streams)),
+        tell_streams: Rc::new(move |streams| {
+            for_streams.keep_origins(&streams, OriginSource::Told);
+        }),
         find_stream: Rc::new(move |stream| for_lookups.find_origin(stream)),
     }
 }
@@ -69,13 +73,22 @@
 
 async fn watch(edge: &Edge, after: StoreRevision, wait: Duration) -> Option<MirrorAnswer> {
     let received_at = edge.now();
-    if let Some(answer) =
-        changes_since(edge, after, received_at)?.filter(|answer| !answer.items.is_empty())
-    {
-        return Some(answer);
-    }
-    // Whether notified or timed out, the answer is the state after the wait.
-    drop(tokio::time::timeout(wait, edge.store_changed.notified()).await);
+    let waiting = async {
+        loop {
+            let notified = edge.store_changed.notified();
+            let changes = changes_since(edge, after, received_at);
+            let has_changes = changes.as_ref().is_none_or(|answer| {
+                let items = answer.iter().flat_map(|answer| &answer.items);
+                items.count() > 0
+            });
+            if has_changes {
+                return;
+            }
+            notified.await;
+        }
+    };
+    // Whether there are changes or the time is up, the answer is the state after the wait.
+    drop(tokio::time::timeout(wait, waiting).await);
     changes_since(edge, after, received_at)?
 }
 
@@ -89,7 +102,9 @@
 ) -> Option<Option<MirrorAnswer>> {
     let now = edge.now();
     let state = edge.state.borrow();
-    let items = state.mirror.changes_since(after)?;
+    let mut items = state.mirror.changes_since(after)?;
+    // Daemons that start read these with the list; those that run ask for a stream.
+    items.retain(|item| !is_streams_record_key(&item.key));
     let answer = state.mirror.revision().zip(state.freshness.age(now));
     Some(answer.map(|(revision, age)| MirrorAnswer {
         items,
--- a/crates/edge/src/store/observations.rs
+++ b/crates/edge/src/store/observations.rs
@@ -13,6 +13,7 @@
     merge_observations, take_observations,
 };
 use lapismoor_core::routing::{FleetSample, Observations};
+use lapismoor_core::stream::OriginSource;
 use lapismoor_mirror::{MirrorClient, MirrorError};
 
 use crate::context::{Edge, State};
@@ -30,8 +31,9 @@
         let Some(collector) = edge.collector.borrow().clone() else {
             continue;
         };
-        last.run(&edge, &collector, |state, now, since| {
-            take_observations(now, since, &state.directory, &mut state.chooser)
+        last.run(&edge, &collector, |state, now, since| Observations {
+            streams: state.streams_to_record(now),
+            ..take_observations(now, since, &state.directory, &mut state.chooser)
         })
         .await;
     }
@@ -154,6 +156,7 @@
     since: Duration,
 ) -> FleetSample {
     edge.merge_limits(&observations.limits, OTHER_DAEMON);
+    edge.keep_origins(&observations.streams, OriginSource::Relayed);
     let now = edge.now();
     let mut state = edge.state.borrow_mut();
     let state = &mut *state;
--- a/crates/edge/src/store/update.rs
+++ b/crates/edge/src/store/update.rs
@@ -8,6 +8,7 @@
 use lapismoor_core::ids::{DaemonId, TargetId};
 use lapismoor_core::membership::{DaemonRecord, Mark, ServiceVersion, TargetEntry};
 use lapismoor_core::routing::RoutingConfig;
+use lapismoor_core::stream::StreamOrigin;
 
 /// One decoded update from the store.
 #[derive(Debug, Clone, PartialEq)]
@@ -48,6 +49,8 @@
     },
     /// A daemon claimed a trial of a request.
     Trial(TrialRecord),
+    /// Where unfinished streams of a daemon began.
+    Streams(Vec<StreamOrigin>),
     /// The mark of a software version was written or removed.
     VersionMark {
         /// The version.
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -11,9 +11,9 @@
 use lapismoor_core::Moment;
 use lapismoor_core::ids::{DaemonId, StreamKey, VersionHash};
 use lapismoor_core::membership::{DaemonRecord, PossibleVersions};
-use lapismoor_core::stream::{StreamOrigin, origin_holders, stream_lifetime};
+use lapismoor_core::stream::{OriginSource, StreamOrigin, origin_holders, stream_lifetime};
 
-use crate::context::{Edge, short_version};
+use crate::context::{Edge, State, short_version};
 
 /// Timeout of a call that tells or asks for streams, with the connection: a caller waits meanwhile.
 const CALL_TIMEOUT: Duration = Duration::from_millis(200);
@@ -96,18 +96,26 @@
             version,
             lifetime: stream_lifetime(timeout),
         };
-        self.state.borrow_mut().origins.record(now, &origin, true);
+        self.state
+            .borrow_mut()
+            .origins
+            .record(now, &origin, OriginSource::Own);
         if self.possible_versions(service) == PossibleVersions::Several {
             self.tell_streams(&[origin]);
         }
     }
 
-    /// Keeps where another daemon has begun streams.
-    pub(crate) fn keep_origins(&self, streams: &[StreamOrigin]) {
+    /// Records that all events of a stream were forwarded.
+    pub(crate) fn stream_finished(&self, stream: StreamKey) {
+        self.state.borrow_mut().origins.finish(stream);
+    }
+
+    /// Keeps where streams began at other daemons.
+    pub(crate) fn keep_origins(&self, streams: &[StreamOrigin], source: OriginSource) {
         let now = self.now();
         let origins = &mut self.state.borrow_mut().origins;
         for origin in streams {
-            origins.record(now, origin, false);
+            origins.record(now, origin, source);
         }
     }
 
@@ -147,7 +155,7 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         state.versions.record_listed(now, &state.directory);
-        state.versions.sweep(now, stream_lifetime(Duration::MAX));
+        state.versions.sweep(now, max_lifetime());
         state.origins.sweep(now);
     }
 
@@ -220,6 +228,22 @@
     }
 }
 
+impl State {
+    /// The unfinished streams at this daemon, while several versions of a service are possible.
+    pub(crate) fn streams_to_record(&self, now: Moment) -> Vec<StreamOrigin> {
+        if self.versions.has_several(now, max_lifetime()) {
+            self.origins.unfinished(now)
+        } else {
+            Vec::new()
+        }
+    }
+}
+
+/// Longest time for which any stream may be taken up.
+pub(crate) fn max_lifetime() -> Duration {
+    stream_lifetime(Duration::MAX)
+}
+
 const TIMED_OUT: &str = "the daemon did not answer within the timeout";
 
 fn log_not_answered(daemon: &DaemonRecord, call: &str, reason: &str) {
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -68,6 +68,9 @@
   # Number of requests by part.
 
   limits @2 :List(TargetLimit);
+
+  streams @3 :List(StreamOrigin);
+  # Unfinished streams, for the store.
 }
 
 struct FleetSample {
--- a/crates/mirror/src/observations.rs
+++ b/crates/mirror/src/observations.rs
@@ -6,6 +6,7 @@
 
 use crate::limits::{read_limits, write_limits};
 use crate::mirror_capnp::{fleet_sample, observations, part, service_parts, target_load};
+use crate::streams::{read_streams, write_streams};
 
 type Loads<'a> = capnp::struct_list::Reader<'a, target_load::Owned>;
 type Parts<'a> = capnp::struct_list::Reader<'a, service_parts::Owned>;
@@ -19,6 +20,7 @@
         loads: read_loads(message.get_loads()?),
         requests: read_parts(message.get_requests()?, to_requests)?,
         limits: read_limits(message.get_limits()?),
+        streams: read_streams(message.get_streams()?),
     })
 }
 
@@ -39,7 +41,11 @@
     );
     write_limits(
         &observations.limits,
-        message.init_limits(length(&observations.limits)),
+        message.reborrow().init_limits(length(&observations.limits)),
+    );
+    write_streams(
+        &observations.streams,
+        message.init_streams(length(&observations.streams)),
     );
 }
 
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -117,6 +117,7 @@
         loads: loads(),
         requests: vec![(1, vec![requests]), (2, Vec::new())],
         limits: limits(),
+        streams: streams(),
     }
 }
 
