Cut a stream off where its target writes bytes that are no event

What callers could see (a report from a system like the users'): a stream broke off, the next target answered with an error, and its text, at times its whole head, stood in the middle of the caller's stream, which then ended as if it were complete; or events came once more.

Cause: the splitter forwarded whatever ended with an empty line. Statuses and signatures of the next target were checked, so that a failure, an unsigned success and an error of the request did not get through; a signed success with other bytes in it did, in chunks, with a length and without either.

Change: each line of an event has to be a field or a comment, and ids have to increase. The events before are delivered; then the stream goes on at another target after the last of them, or is cut off (event_malformed). Besides, an answer without an id is no longer taken for that of the request on a connection that was idle before.

--- a/crates/core/tests/event_stream.rs
+++ b/crates/core/tests/event_stream.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use lapismoor_core::stream::EventSplitter;
+use lapismoor_core::stream::events::EventError;
 use test_case::test_case;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 3\ndata: c\n\n";
@@ -61,3 +62,30 @@
     assert!(splitter.push(&megabyte).is_ok());
     assert!(splitter.push(&megabyte).is_err());
 }
+
+/// Guards against the text or the head of an error that reaches the caller in the middle of its
+/// stream, and against events that come twice.
+#[test_case("Internal Server Error\n\n"; "text of an error")]
+#[test_case("HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\noops\n\n"; "head of an answer")]
+#[test_case("{\"error\": \"full\"}\n\n"; "an object")]
+#[test_case("id: 2\ndata: b\n\n"; "an event that was sent before")]
+fn bytes_that_are_no_event_are_not_returned(bytes: &'static str) {
+    let mut splitter = EventSplitter::resumed_after(Some(1));
+    let first = "id: 2\ndata: b\n\n";
+    let actual = splitter.push(&Bytes::from(format!("{first}{bytes}")));
+    assert_eq!(actual, Ok(Bytes::from_static(first.as_bytes())));
+    assert!(splitter.has_partial_event(), "the stream is not complete");
+    let actual = splitter.push(&Bytes::from_static(b"id: 3\ndata: c\n\n"));
+    assert_eq!(actual, Err(EventError::Malformed));
+    assert_eq!(splitter.last_id(), Some(2));
+}
+
+#[test_case(": comment\n\n"; "comment")]
+#[test_case("data: a\n\n"; "event without an id")]
+#[test_case("lapismoor-weight-versions: 3\nid: 9\nevent: token\ndata: x: y\n\n"; "several fields")]
+#[test_case("\n\n"; "empty lines")]
+fn fields_and_comments_are_forwarded(bytes: &'static str) {
+    let mut splitter = EventSplitter::resumed_after(Some(1));
+    let actual = splitter.push(&Bytes::from_static(bytes.as_bytes()));
+    assert_eq!(actual, Ok(Bytes::from_static(bytes.as_bytes())));
+}
--- a/crates/edge/src/history/cause.rs
+++ b/crates/edge/src/history/cause.rs
@@ -19,7 +19,7 @@
 }
 
 /// Name, meaning and remedy of each known cause.
-const CAUSES: [(&str, &str, &str); 37] = [
+const CAUSES: [(&str, &str, &str); 38] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -175,6 +175,11 @@
         "the target ended its stream in the middle of an event",
         "check whether the target crashed",
     ),
+    (
+        "event_malformed",
+        "the target wrote bytes into its stream that are no event, or an event once more",
+        "check the target",
+    ),
     (
         "no_event",
         "the target ended its connection before the first event of a stream without length or chunks",
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -189,7 +189,8 @@
         let head = request_head(job, &self.choice, &self.target_id, last_event, span);
         let answers_request = |head: &ResponseHead| {
             let id = (edge.dialect.read_answer)(head.headers()).request_id;
-            id.is_none_or(|id| id == job.request.envelope.id)
+            // On a connection that was idle, it may be the answer to an earlier request.
+            id.map_or(!self.is_reused, |id| id == job.request.envelope.id)
         };
         job.in_flight.borrow_mut().push(self.in_flight);
         let body = job.request.body.clone();
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -119,7 +119,7 @@
             };
             self.job.edge.target_heard(self.answer.target);
             let events = self.splitter.push(&bytes);
-            let events = events.map_err(|_| FailedAttempt::not_awaited("event_too_large"))?;
+            let events = events.map_err(|error| FailedAttempt::not_awaited(error.name()))?;
             if !events.is_empty() {
                 self.job.begin_delivery(self.answer.target);
                 self.has_events = true;
