Mark versions as soon as targets are listed, without holding back other changes of the store

Cause: the mark is a change of the store, after which a daemon gathers further ones for 500 ms; it was written one second after the start, or right after the announcement, whose gathering it doubled. Marks are few and come alone: nothing is gathered after one. A daemon that starts marks versions at once, spread like announcements, and takes an equal mark that another one has just written for its own.

--- a/crates/edge/src/store/announce.rs
+++ b/crates/edge/src/store/announce.rs
@@ -19,7 +19,7 @@
 /// takes two writes, and the store accepts several hundred writes per second.
 const WRITE_SPACING: Duration = Duration::from_millis(10);
 /// Interval at which the task checks whether the first listing is complete.
-const LISTING_POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const LISTING_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay before the next attempt after a failure.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -66,7 +66,7 @@
 
 /// Spreads the writes of a whole fleet that starts at once, or notices at once that the store was
 /// restored. Delaying them is safe because the announcements from before are still used.
-fn initial_delay(edge: &Edge) -> Duration {
+pub(super) fn initial_delay(edge: &Edge) -> Duration {
     let fleet = edge.state.borrow().daemons.len();
     let position_permille = hash_parts(&[edge.settings.daemon.as_bytes()]) % 1_000;
     let position_permille = u32::try_from(position_permille).unwrap_or_default();
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -6,7 +6,7 @@
 
 use lapismoor_core::Moment;
 use lapismoor_core::ids::{DaemonId, StoreRevision};
-use lapismoor_core::membership::{Source, Sources, StoreItem, max_source_age};
+use lapismoor_core::membership::{ServiceVersion, Source, Sources, StoreItem, max_source_age};
 
 use super::apply::{Cause, apply};
 use super::client::{Consistency, StoreClient, StoreError};
@@ -218,7 +218,9 @@
         let cause = self.cause_of_updates(edge, answer.revision);
         let is_first_list = cause == Cause::FirstList;
         let items = self.update_mirror(edge, now, answer);
-        self.had_changes = !items.is_empty();
+        // Marks are written one at a time, so that there is nothing to gather.
+        let is_mark = |item: &StoreItem| ServiceVersion::from_mark_key(&item.key).is_some();
+        self.had_changes = items.iter().any(|item| !is_mark(item));
         for update in items.iter().filter_map(client.decode) {
             apply(edge, now, update, cause);
         }
@@ -243,11 +245,11 @@
             );
         }
         expect_even_share(edge);
-        if self.had_changes {
+        if !items.is_empty() {
             edge.store_changed.notify_waiters();
-            if self.source == Source::Store {
-                tokio::time::sleep(self.gather_time(edge)).await;
-            }
+        }
+        if self.had_changes && self.source == Source::Store {
+            tokio::time::sleep(self.gather_time(edge)).await;
         }
     }
 
--- a/crates/edge/src/store/version_marks.rs
+++ b/crates/edge/src/store/version_marks.rs
@@ -11,6 +11,7 @@
 use lapismoor_core::membership::{Mark, ServiceVersion, Standing, VersionMark};
 use lapismoor_core::store::{LeaseId, StoreAnswer, StoreFailure, StoreRequest};
 
+use super::announce::{LISTING_POLL_INTERVAL, initial_delay};
 use super::records;
 use super::suspects::is_ranked_within;
 use crate::context::{Edge, State, short_version};
@@ -32,8 +33,11 @@
 /// Writes marks for as long as the daemon runs.
 pub(crate) async fn mark_versions(edge: Rc<Edge>) {
     let mut pending: Vec<(MarkChange, Moment)> = Vec::new();
+    while !edge.state.borrow().has_loaded_targets {
+        tokio::time::sleep(LISTING_POLL_INTERVAL).await;
+    }
+    tokio::time::sleep(initial_delay(&edge)).await;
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
         let now = edge.now();
         let wanted = wanted_changes(&edge, now);
         pending.retain(|(change, _)| wanted.contains(change));
@@ -49,6 +53,7 @@
                 write(&edge, &change).await;
             }
         }
+        tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
 
@@ -133,6 +138,10 @@
         match records::call(edge, request).await? {
             StoreAnswer::Swapped => return Ok(()),
             StoreAnswer::Conflict { record } => {
+                let current = record.as_ref().map(|record| &record.value);
+                if !change.mark.is_ending && current == Some(&value) {
+                    return Ok(());
+                }
                 expected = record.map_or(0, |record| record.version);
             }
             unexpected => {
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! Measures the cost of decisions as their tables grow; `docs/CAPACITY.md` uses the slopes.
 
 mod permits;
+mod streams;
 
 use std::hint::black_box;
 use std::time::{Duration, Instant};
@@ -79,6 +80,14 @@
         });
         points.collect::<Vec<Point>>()
     };
+    let stream_costs = [6, 12, 85, 195, 400].map(|daemons| (daemons, streams::measure(daemons)));
+    let stream_series = |value: fn(&streams::StreamCost) -> f64| {
+        let points = stream_costs.iter().map(|(daemons, cost)| Point {
+            size: f64::from(*daemons),
+            value: value(cost),
+        });
+        points.collect::<Vec<Point>>()
+    };
     [
         format_series(
             "target choice for a chat, by engines",
@@ -107,6 +116,31 @@
             "of 1",
             &permit_series(|cost| cost.used),
         ),
+        format_series(
+            "streams that a daemon tells others while versions differ, by daemons",
+            "streams/s",
+            &stream_series(|cost| cost.told_per_s),
+        ),
+        format_series(
+            "streams that the daemon is told that gets most, by daemons",
+            "streams/s",
+            &stream_series(|cost| cost.most_told_per_s),
+        ),
+        format_series(
+            "daemons that hold where streams began, by daemons",
+            "daemons",
+            &stream_series(|cost| cost.peers),
+        ),
+        format_series(
+            "deriving the holders of a stream, by daemons",
+            "us",
+            &stream_series(|cost| cost.derive_us),
+        ),
+        format_series(
+            "records of streams that all daemons write, by daemons",
+            "writes/s",
+            &stream_series(|cost| cost.records_per_s),
+        ),
     ]
     .concat()
 }
@@ -209,3 +243,7 @@
 fn as_micros(time: Duration) -> f64 {
     time.as_secs_f64() * 1e6
 }
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
--- a/crates/soak/src/slopes/permits.rs
+++ b/crates/soak/src/slopes/permits.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::daemon_record;
+use super::{count, daemon_record};
 
 /// Simulated time.
 const LENGTH: Duration = Duration::from_secs(20);
@@ -159,7 +159,3 @@
         }
     }
 }
-
-fn count(number: usize) -> f64 {
-    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
-}
