--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -259,17 +259,7 @@
 async fn permit_takes_few_bytes() {
     LocalSet::new()
         .run_until(async {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            let address = listener.local_addr().expect("bound");
-            tokio::task::spawn_local(serve(
-                listener,
-                source(),
-                |error| panic!("{error}"),
-                ByteCounter::default(),
-            ));
-            let bytes = ByteCounter::default();
-            let client = MirrorClient::connect(address, bytes.clone()).await;
-            let client = client.expect("listening");
+            let (client, bytes) = counted_client().await;
             client.take_permit(&permit_request()).await.expect("a call");
             let before = bytes.get();
             for _ in 0..100 {
@@ -280,3 +270,37 @@
         })
         .await;
 }
+
+/// A daemon tells each of its streams to three others while versions differ, and begins four a
+/// second.
+#[tokio::test]
+async fn stream_takes_few_bytes() {
+    LocalSet::new()
+        .run_until(async {
+            let (client, bytes) = counted_client().await;
+            let streams = streams();
+            client.tell_streams(&streams).await.expect("a call");
+            let before = bytes.get();
+            for _ in 0..100 {
+                client.tell_streams(&streams).await.expect("a call");
+            }
+            let per_call = (bytes.get() - before) / 100;
+            assert!(per_call <= 6_000 / 12, "{per_call} bytes");
+        })
+        .await;
+}
+
+/// A client whose bytes are counted.
+async fn counted_client() -> (MirrorClient, ByteCounter) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::task::spawn_local(serve(
+        listener,
+        source(),
+        |error| panic!("{error}"),
+        ByteCounter::default(),
+    ));
+    let bytes = ByteCounter::default();
+    let client = MirrorClient::connect(address, bytes.clone()).await;
+    (client.expect("listening"), bytes)
+}
