Soak and demo: engines of several software versions, and a check that no stream changes its own

Records of runs tell the first event that a run sends; a run that goes on in the middle must follow one of the same version from an earlier event on.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -50,6 +50,19 @@
     pub process: Process,
 }
 
+impl TargetProcess {
+    /// Software version under which the target is registered; none if it is no target.
+    #[must_use]
+    pub fn version(&self) -> Option<&str> {
+        match &self.role {
+            Role::Engine { registration, .. } | Role::Service { registration, .. } => {
+                Some(&registration.version)
+            }
+            _ => None,
+        }
+    }
+}
+
 /// A network link that can be routed through a proxy; the value names the daemon or target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Link {
@@ -158,6 +171,7 @@
                 id: name.clone(),
                 service: pool.clone(),
                 zone: size.failure_domain(index).to_owned(),
+                version: size.version(index),
                 slots: TARGET_SLOTS,
                 advertised: proxy_link(Link::Target(name.clone()), address)?,
                 heartbeat_ms: size.heartbeat_ms,
--- a/crates/demo/src/fleet_size.rs
+++ b/crates/demo/src/fleet_size.rs
@@ -25,6 +25,8 @@
     pub prefill_ms: u64,
     /// Duration of a service call, in milliseconds.
     pub work_ms: u64,
+    /// Software versions, over which targets are distributed; not zero.
+    pub versions: usize,
     /// Interval at which targets renew the leases of their entries, in milliseconds. An entry expires
     /// three intervals after the last renewal.
     pub heartbeat_ms: u64,
@@ -47,10 +49,17 @@
             token_ms: 8,
             prefill_ms: 120,
             work_ms: 30,
+            versions: 1,
             heartbeat_ms: HEARTBEAT_MS,
         }
     }
 
+    /// Software version of the target at `index`, assigned in turn.
+    #[must_use]
+    pub fn version(&self, index: usize) -> String {
+        format!("v1.{}", index % self.versions)
+    }
+
     /// Failure domain of the daemon or target at `index`, assigned in turn.
     #[must_use]
     pub fn failure_domain(&self, index: usize) -> &str {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -34,6 +34,8 @@
         parts: bool,
         /// Add limits: engines name how many requests they take
         limits: bool,
+        /// Run engines of two software versions side by side
+        versions: bool,
         /// Directory for logs and records; kept only for failing seeds
         #[bpaf(argument("DIR"))]
         directory: Option<PathBuf>,
@@ -80,12 +82,14 @@
             silences,
             parts,
             limits,
+            versions,
             directory,
         } => {
             let additions = Additions {
                 has_silences: silences,
                 has_crashing_part: parts,
                 has_limits: limits,
+                versions: if versions { 2 } else { 1 },
             };
             let counts = ProcessCounts {
                 daemons,
--- a/crates/soak/src/processes/run.rs
+++ b/crates/soak/src/processes/run.rs
@@ -52,6 +52,8 @@
     pub has_crashing_part: bool,
     /// Engines that name limits.
     pub has_limits: bool,
+    /// Software versions of the engines; zero counts as one.
+    pub versions: usize,
 }
 
 /// Result of a run.
@@ -83,6 +85,7 @@
         engines: counts.engines,
         services: counts.services,
         tokens: 12,
+        versions: additions.versions.max(1),
         ..FleetSize::midshire()
     };
     let proxies = Proxies::default();
--- a/crates/soak/src/processes/verify.rs
+++ b/crates/soak/src/processes/verify.rs
@@ -57,6 +57,7 @@
         }
     }
     violations.extend(exceeded_limits(fleet)?);
+    violations.extend(changed_versions(fleet)?);
     Ok(violations)
 }
 
@@ -93,6 +94,35 @@
     Ok(exceeded)
 }
 
+/// Describes each stream that went on at an engine of a software version that had not run it from an
+/// earlier event on.
+fn changed_versions(fleet: &Fleet) -> io::Result<Vec<String>> {
+    let mut begins = Vec::new();
+    for target in &fleet.engines {
+        let records = TargetRecords::read(&target.name, &target.records_path, None)?;
+        let began = records
+            .records
+            .into_iter()
+            .filter(|one| one.what == "begin");
+        let of_stream = began.filter_map(|one| Some((one.attempt, one.first_event?)));
+        begins.extend(of_stream.map(|(attempt, first)| (attempt, first, target.version())));
+    }
+    begins.sort();
+    let mut changed = Vec::new();
+    for runs in begins.chunk_by(|left, right| left.0 == right.0) {
+        for (position, (attempt, first, version)) in runs.iter().enumerate() {
+            let mut earlier = runs[..position].iter();
+            if *first > 1 && !earlier.any(|run| run.1 < *first && run.2 == *version) {
+                changed.push(format!(
+                    "{attempt} went on at version {version:?} after event {}",
+                    first - 1
+                ));
+            }
+        }
+    }
+    Ok(changed)
+}
+
 /// Describes each attempt that got no response although the proxy on its way to the daemon lost
 /// nothing meanwhile. Every attempt must get one, or the end of its connection, within the timeout of
 /// its caller, whatever happens behind the daemon.
--- a/crates/soak/tests/processes.rs
+++ b/crates/soak/tests/processes.rs
@@ -17,18 +17,28 @@
     has_silences: false,
     has_crashing_part: true,
     has_limits: false,
+    versions: 1,
 };
 
 const LIMITS: Additions = Additions {
     has_silences: false,
     has_crashing_part: false,
     has_limits: true,
+    versions: 1,
+};
+
+const VERSIONS: Additions = Additions {
+    has_silences: false,
+    has_crashing_part: false,
+    has_limits: false,
+    versions: 2,
 };
 
 #[test_case(1, Additions::default())]
 #[test_case(2, Additions::default())]
 #[test_case(3, PART; "3 with a crashing prompt part")]
 #[test_case(4, LIMITS; "4 with engines that name limits")]
+#[test_case(5, VERSIONS; "5 with engines of two software versions")]
 fn guarantees_hold_under_faults(seed: u64, additions: Additions) {
     let name = format!("lapismoor-soak-test-{}-{seed}", std::process::id());
     let directory: PathBuf = std::env::temp_dir().join(name);
