Keep versions and records of streams only as long as the routes of streams require, and share the calls to holders

A daemon went on writing its unfinished streams for ten minutes after the last target of a version had left: it asked for versions of the longest lifetime there can be, not of the routes. Their lease ends a minute after it may be needed.

--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -137,6 +137,13 @@
         to_service.map(|route| route.timeout).max()
     }
 
+    /// Longest timeout of the routes whose streams may be resumed; none if there is no such route.
+    #[must_use]
+    pub fn longest_resumable_timeout(&self) -> Option<Duration> {
+        let routes = self.routes.iter().filter(|route| route.is_resumable());
+        routes.map(|route| route.timeout).max()
+    }
+
     /// Whether routes that are not public require a key.
     #[must_use]
     pub fn has_workspaces(&self) -> bool {
--- a/crates/edge/src/store/stream_records.rs
+++ b/crates/edge/src/store/stream_records.rs
@@ -9,12 +9,12 @@
 use lapismoor_core::stream::origins::{encode_streams, streams_record_key};
 
 use super::records;
-use super::suspects::LEASE_ROTATION;
 use crate::context::Edge;
-use crate::streams::max_lifetime;
 
 /// Interval at which the streams of a daemon are written.
 const RECORD_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which the record is attached to one lease.
+const LEASE_ROTATION: Duration = Duration::from_mins(1);
 /// Pause after a failure of the store.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
@@ -60,7 +60,7 @@
 }
 
 async fn write(edge: &Edge, value: Vec<u8>) -> Result<(), StoreFailure> {
-    let ttl = max_lifetime() + LEASE_ROTATION;
+    let ttl = edge.state.borrow().max_stream_lifetime() + LEASE_ROTATION;
     let lease = edge.streams_lease.get(edge, ttl, LEASE_ROTATION).await?;
     let request = StoreRequest::Put {
         key: streams_record_key(&edge.settings.daemon, edge.incarnation()),
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -12,6 +12,7 @@
 use lapismoor_core::ids::{DaemonId, StreamKey, VersionHash};
 use lapismoor_core::membership::{DaemonRecord, PossibleVersions};
 use lapismoor_core::stream::{OriginSource, StreamOrigin, origin_holders, stream_lifetime};
+use lapismoor_mirror::{MirrorClient, MirrorError};
 
 use crate::context::{Edge, State, short_version};
 
@@ -155,7 +156,8 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         state.versions.record_listed(now, &state.directory);
-        state.versions.sweep(now, max_lifetime());
+        let lifetime = state.max_stream_lifetime();
+        state.versions.sweep(now, lifetime);
         state.origins.sweep(now);
     }
 
@@ -193,18 +195,32 @@
         daemon: &DaemonRecord,
         stream: StreamKey,
     ) -> Option<Option<VersionHash>> {
+        self.call_holder(daemon, "find", async |holder| {
+            holder.find_stream(stream).await
+        })
+        .await
+    }
+
+    /// Calls a daemon that holds streams, and returns its answer; `None` if it gave none.
+    async fn call_holder<T>(
+        &self,
+        daemon: &DaemonRecord,
+        call_name: &'static str,
+        call: impl AsyncFnOnce(&MirrorClient) -> Result<T, MirrorError>,
+    ) -> Option<T> {
         if self.peers.is_backed_off(self.now(), daemon) {
             return None;
         }
-        let call = async {
+        let calling = async {
             let connection = self.peer_connection(daemon).await?;
-            connection.find_stream(stream).await
+            call(&connection).await
         };
-        match tokio::time::timeout(CALL_TIMEOUT, call).await {
+        let reason = match tokio::time::timeout(CALL_TIMEOUT, calling).await {
             Ok(Ok(answer)) => return Some(answer),
-            Ok(Err(error)) => log_not_answered(daemon, "find", &error.to_string()),
-            Err(_) => log_not_answered(daemon, "find", TIMED_OUT),
-        }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "the daemon did not answer within the timeout".into(),
+        };
+        log::info!(peer:% = daemon.id, call = call_name, reason; "stream_call_not_answered");
         self.peer_failed(daemon);
         None
     }
@@ -231,23 +247,19 @@
 impl State {
     /// The unfinished streams at this daemon, while several versions of a service are possible.
     pub(crate) fn streams_to_record(&self, now: Moment) -> Vec<StreamOrigin> {
-        if self.versions.has_several(now, max_lifetime()) {
+        if self.versions.has_several(now, self.max_stream_lifetime()) {
             self.origins.unfinished(now)
         } else {
             Vec::new()
         }
     }
-}
-
-/// Longest time for which any stream may be taken up.
-pub(crate) fn max_lifetime() -> Duration {
-    stream_lifetime(Duration::MAX)
-}
 
-const TIMED_OUT: &str = "the daemon did not answer within the timeout";
-
-fn log_not_answered(daemon: &DaemonRecord, call: &str, reason: &str) {
-    log::info!(peer:% = daemon.id, call, reason; "stream_call_not_answered");
+    /// Longest time for which callers may take up a stream of any service.
+    pub(crate) fn max_stream_lifetime(&self) -> Duration {
+        let config = self.config.get();
+        let timeout = config.and_then(|config| config.longest_resumable_timeout());
+        stream_lifetime(timeout.unwrap_or(UNKNOWN_TIMEOUT))
+    }
 }
 
 /// Tells a daemon the streams in its queue until there are none. What comes up during a call is
@@ -258,31 +270,17 @@
         if streams.is_empty() {
             return;
         }
-        if !tell(&edge, &daemon, &streams).await {
+        let told = edge.call_holder(&daemon, "tell", async |holder| {
+            holder.tell_streams(&streams).await
+        });
+        if told.await.is_none() {
+            // Other daemons hold them too.
             edge.origin_queues.remove(&daemon.id);
             return;
         }
     }
 }
 
-/// Returns whether the daemon took the streams. Other holders have them if not.
-async fn tell(edge: &Edge, daemon: &DaemonRecord, streams: &[StreamOrigin]) -> bool {
-    if edge.peers.is_backed_off(edge.now(), daemon) {
-        return false;
-    }
-    let call = async {
-        let connection = edge.peer_connection(daemon).await?;
-        connection.tell_streams(streams).await
-    };
-    match tokio::time::timeout(CALL_TIMEOUT, call).await {
-        Ok(Ok(())) => return true,
-        Ok(Err(error)) => log_not_answered(daemon, "tell", &error.to_string()),
-        Err(_) => log_not_answered(daemon, "tell", TIMED_OUT),
-    }
-    edge.peer_failed(daemon);
-    false
-}
-
 /// Tells the streams of this daemon that began while one version served, whenever another version
 /// is listed, for as long as the daemon runs.
 pub(crate) async fn share_streams(edge: Rc<Edge>) {
