--- a/crates/edge/src/store/version_marks.rs
+++ b/crates/edge/src/store/version_marks.rs
@@ -90,13 +90,7 @@
 
 /// The mark of a version whose targets have left, by that in the store.
 fn ending_mark(state: &State, key: ServiceVersion) -> VersionMark {
-    let items = state.mirror.items();
-    let mark_key = key.mark_key();
-    let found = items.binary_search_by(|item| item.key.cmp(&mark_key));
-    let value = found
-        .ok()
-        .and_then(|position| items[position].value.as_ref());
-    let mark = value.and_then(|value| serde_json::from_slice::<VersionMark>(value).ok());
+    let mark = state.version_mark(key);
     let (service, version) = mark
         .map(|mark| (mark.service, mark.version))
         .unwrap_or_default();
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use actix_web::rt;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use lapismoor_core::Moment;
 use lapismoor_core::ids::{DaemonId, StreamKey, VersionHash};
-use lapismoor_core::membership::{DaemonRecord, PossibleVersions};
+use lapismoor_core::membership::{DaemonRecord, PossibleVersions, ServiceVersion, VersionMark};
 use lapismoor_core::stream::{OriginSource, StreamOrigin, origin_holders, stream_lifetime};
 use lapismoor_mirror::{MirrorClient, MirrorError};
 
@@ -140,15 +140,15 @@
         stream_lifetime(timeout.unwrap_or(UNKNOWN_TIMEOUT))
     }
 
-    /// The name of a version, for logs: its text if a target with it is known.
-    pub(crate) fn version_name(&self, version: VersionHash) -> CompactString {
+    /// The name of a version, for logs: its text if a target with it or its mark is known.
+    pub(crate) fn version_name(&self, service: &str, version: VersionHash) -> CompactString {
         let state = self.state.borrow();
         let mut targets = state.directory.targets().iter();
-        let known = targets.find(|target| target.version == version);
-        match known {
-            Some(target) => short_version(&target.entry.version).into(),
-            None => compact_str::format_compact!("{version:016x}"),
+        if let Some(target) = targets.find(|target| target.version == version) {
+            return short_version(&target.entry.version).into();
         }
+        let mark = state.version_mark(ServiceVersion::new(service, version));
+        mark.map_or_else(|| format_compact!("{version:016x}"), |mark| mark.version)
     }
 
     /// Forgets streams and versions that no caller can take up any more.
@@ -254,6 +254,15 @@
         }
     }
 
+    /// The mark of a version in the store, if it can be read.
+    pub(crate) fn version_mark(&self, key: ServiceVersion) -> Option<VersionMark> {
+        let items = self.mirror.items();
+        let mark_key = key.mark_key();
+        let found = items.binary_search_by(|item| item.key.cmp(&mark_key));
+        let value = items[found.ok()?].value.as_ref()?;
+        serde_json::from_slice(value).ok()
+    }
+
     /// Longest time for which callers may take up a stream of any service.
     pub(crate) fn max_stream_lifetime(&self) -> Duration {
         let config = self.config.get();
