--- a/crates/core/tests/event_stream.rs
+++ b/crates/core/tests/event_stream.rs
@@ -63,8 +63,7 @@
     assert!(splitter.push(&megabyte).is_err());
 }
 
-/// Guards against the text or the head of an error that reaches the caller in the middle of its
-/// stream, and against events that come twice.
+/// Guards against text of an error, and repeated events, in a caller's stream.
 #[test_case("Internal Server Error\n\n"; "text of an error")]
 #[test_case("HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\noops\n\n"; "head of an answer")]
 #[test_case("{\"error\": \"full\"}\n\n"; "an object")]
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -54,8 +54,7 @@
     f64::from(found) / f64::from(u32::try_from(STREAMS).expect("few"))
 }
 
-/// Guards against streams that cannot go on because the daemon that began them has failed, was
-/// restarted or is cut off: others hold where they began.
+/// Guards against origins that are lost with the daemon that began the stream.
 #[test_case(2, 1; "two")]
 #[test_case(6, 3; "small")]
 #[test_case(85, 3; "large")]
@@ -73,8 +72,7 @@
     assert!(restarting >= 0.85, "{restarting}");
 }
 
-/// Guards against costs that grow with the fleet: a stream is told to a few daemons, and a daemon
-/// keeps connections to a few.
+/// Guards against messages and connections that grow with the fleet.
 #[test_case(13, 3, 3, 6)]
 #[test_case(85, 3, 3, 6)]
 #[test_case(195, 3, 3, 15)]
@@ -140,8 +138,7 @@
     ServiceVersion::new("pool", number)
 }
 
-/// Guards against a daemon that takes the version it finds for the only one, although the targets
-/// of another have just left or the daemon has just started.
+/// Guards against a version that is forgotten while its streams can be taken up.
 #[test]
 fn version_counts_until_its_streams_have_ended() {
     let lifetime = at(20);
@@ -164,8 +161,7 @@
     assert_eq!(possible(&history, at(91)), PossibleVersions::One(2));
 }
 
-/// Guards against marks without a lease of versions that have left, which would count for good, and
-/// against marks of versions that serve which end.
+/// Guards against marks that outlive their version, or end before it.
 #[test]
 fn mark_of_a_version_that_left_is_to_end() {
     let mut history = VersionHistory::default();
@@ -214,7 +210,7 @@
     assert_eq!(ServiceVersion::read_mark(None), Mark::Missing);
 }
 
-/// Guards against records of streams that nobody takes up, and that lack those of other daemons.
+/// Guards against records that hold finished streams, or lack relayed ones.
 #[test]
 fn record_holds_the_unfinished_streams_of_this_daemon_and_those_relayed_to_it() {
     let mut origins = StreamOrigins::default();
--- a/crates/core/tests/stream_versions.rs
+++ b/crates/core/tests/stream_versions.rs
@@ -65,8 +65,7 @@
     directory.get(target).expect("known").version
 }
 
-/// Guards against streams that change the version: whatever the home of the prompt is, and whichever
-/// targets were tried.
+/// Guards against streams that change the version by the home of their prompt or after retries.
 #[test]
 fn stream_goes_on_only_at_targets_of_its_version() {
     let directory = directory(&["v1", "v1.1", "v1.10", "v1", "v1.1", "v1"]);
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -271,8 +271,7 @@
         .await;
 }
 
-/// A daemon tells each of its streams to three others while versions differ, and begins four a
-/// second.
+/// Bounds control at 6 KB/s for a daemon that tells twelve streams a second.
 #[tokio::test]
 async fn stream_takes_few_bytes() {
     LocalSet::new()
