--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod events;
 pub mod origins;
+pub mod resumption;
 pub mod version;
 
 pub use events::EventSplitter;
 pub use origins::{OriginSource, StreamOrigin, StreamOrigins, origin_holders, stream_lifetime};
+pub use resumption::ResumedStream;
 pub use version::VersionBinding;
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -284,10 +284,13 @@
 
     /// Whether targets in use have the software version at which the stream may go on.
     pub(crate) fn serves_version(&self) -> bool {
-        let version = self.version.get();
-        let state = self.edge.state.borrow();
-        let mut targets = state.directory.in_use(&self.request.service);
-        version == VersionBinding::Free || targets.any(|target| version.allows(target.version))
+        match self.version.get() {
+            VersionBinding::Free => true,
+            VersionBinding::Only(version) => {
+                self.edge.serves_version(&self.request.service, version)
+            }
+            VersionBinding::Unknown => false,
+        }
     }
 
     /// Whether a target may get the stream, now or once it returns. Where targets of other versions
--- a/crates/edge/src/serve/resumption.rs
+++ b/crates/edge/src/serve/resumption.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use lapismoor_core::admission::Refusal;
-use lapismoor_core::ids::VersionHash;
 use lapismoor_core::membership::PossibleVersions;
-use lapismoor_core::stream::VersionBinding;
+use lapismoor_core::stream::ResumedStream;
 
 use super::job::Job;
 use super::report;
@@ -14,13 +13,11 @@
 /// Time after which daemons that don't know a stream are asked once more: the one that began it may
 /// just be telling them.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(40);
-/// Delay before a retry of a caller whose stream a daemon may know that did not answer.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Binds a stream that the caller takes up to the version that began it.
 ///
 /// # Errors
-/// [`Refusal`] if that version is not known, or no target has it.
+/// [`Refusal`] if no target may get it.
 pub(super) async fn bind_to_origin(job: &Job) -> Result<(), Refusal> {
     let envelope = &job.request.envelope;
     let is_taken_up = envelope.resumes.is_some() || envelope.last_event.is_some();
@@ -28,27 +25,18 @@
         return Ok(());
     }
     let found = find(job).await;
-    let known = match &found.origin {
-        Some((version, _)) => Some(*version),
-        None => only_possible(job, &found)?,
+    let resumed = ResumedStream {
+        origin: found.origin.as_ref().map(|(version, _)| *version),
+        possible: job.edge.possible_versions(&job.request.service),
+        has_events: envelope.last_event.is_some(),
+        asked: found.asked,
+        answered: found.answered,
+        is_list_current: job.edge.has_current_list(),
     };
-    report::stream_taken_up(job, &found, known);
-    let Some(version) = known else {
-        // Without an event there is nothing that another version would not fit.
-        if envelope.last_event.is_none() {
-            return Ok(());
-        }
-        let is_incomplete = found.answered < found.asked;
-        return Err(Refusal::StreamOriginUnknown {
-            retry_after: is_incomplete.then_some(RETRY_AFTER),
-        });
-    };
-    job.version.set(VersionBinding::Only(version));
-    if job.serves_version() {
-        Ok(())
-    } else {
-        Err(Refusal::StreamVersionGone)
-    }
+    report::stream_taken_up(job, &found, resumed.version());
+    let binding = resumed.bind(|version| job.edge.serves_version(&job.request.service, version));
+    job.version.set(binding?);
+    Ok(())
 }
 
 /// Finds where the stream began that the caller names.
@@ -66,19 +54,3 @@
     tokio::time::sleep(ASK_AGAIN_AFTER).await;
     job.edge.find_stream(stream).await
 }
-
-/// The version at which a stream of unknown origin must have begun, if there is only one. Another
-/// daemon may know of more if this one reaches neither the store nor others.
-///
-/// # Errors
-/// [`Refusal::NoTarget`] if there is no target.
-fn only_possible(job: &Job, found: &FoundStream) -> Result<Option<VersionHash>, Refusal> {
-    match job.edge.possible_versions(&job.request.service) {
-        PossibleVersions::None => Err(Refusal::NoTarget),
-        PossibleVersions::One(version) => {
-            let is_informed = found.answered > 0 || job.edge.has_current_list();
-            Ok(is_informed.then_some(version))
-        }
-        PossibleVersions::Several => Ok(None),
-    }
-}
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -132,6 +132,13 @@
         state.versions.possible(self.now(), service, lifetime)
     }
 
+    /// Whether targets of a service that are in use have a version.
+    pub(crate) fn serves_version(&self, service: &str, version: VersionHash) -> bool {
+        let state = self.state.borrow();
+        let mut targets = state.directory.in_use(service);
+        targets.any(|target| target.version == version)
+    }
+
     /// Time for which callers may take up a stream of a service.
     pub(crate) fn lifetime_of_streams(&self, service: &str) -> Duration {
         let state = self.state.borrow();
