Let one daemon write the unfinished streams of the whole fleet

Cost, not a fault: while versions differed each of 6 or 7 daemons, or each of up to 10 readers, wrote a record of its own every 300 ms, 20 to 33 writes a second. The daemons that read the store relay theirs to one of them now, by a call between daemons, which writes one record for all; another one takes its place if it doesn't answer, and a daemon that reaches neither writes its own. Records are half as long: streams are grouped by version.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -14,6 +14,6 @@
 pub use entry::{TargetEntry, TargetIncarnation, TargetState};
 pub use freshness::Freshness;
 pub use mirror::{Mirror, StoreItem};
-pub use sources::{DaemonRecord, Source, Sources, is_small_fleet, max_source_age};
+pub use sources::{DaemonRecord, Source, Sources, is_small_fleet, max_source_age, store_readers};
 pub use traffic_share::TrafficShare;
 pub use versions::{Mark, PossibleVersions, ServiceVersion, VersionHistory, VersionMark};
--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -173,6 +173,18 @@
     }
 }
 
+/// Daemons that read the store themselves: all of a small fleet, and the readers of a large one.
+#[must_use]
+pub fn store_readers(daemons: &[DaemonRecord]) -> Vec<&DaemonRecord> {
+    if is_small_fleet(daemons) {
+        return daemons.iter().collect();
+    }
+    let domains = domains(daemons).into_iter();
+    domains
+        .flat_map(|domain| domain_readers(domain, daemons))
+        .collect()
+}
+
 /// Failure domains of the daemons, sorted.
 fn domains(daemons: &[DaemonRecord]) -> Vec<&FailureDomain> {
     let mut domains: Vec<&FailureDomain> = daemons.iter().map(|one| &one.domain).collect();
--- a/crates/core/src/stream/origins.rs
+++ b/crates/core/src/stream/origins.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::Moment;
 use crate::ids::{DaemonId, FailureDomain, Incarnation, StreamKey, VersionHash, hash_parts};
-use crate::membership::{DaemonRecord, is_small_fleet};
+use crate::membership::{DaemonRecord, is_small_fleet, store_readers};
 
 /// Failure domains whose daemons hold the origin of a stream in a large fleet.
 const HOLDING_DOMAINS: usize = 3;
@@ -25,6 +25,10 @@
 const HOLDER_KEY: &[u8] = b"stream origins";
 /// Time after which the last try of a caller has ended that waited until its deadline.
 const LIFETIME_MARGIN: Duration = Duration::from_secs(5);
+/// Daemons that may write unfinished streams to the store.
+const RECORD_WRITERS: usize = 2;
+/// Hash key for the selection of these daemons.
+const WRITER_KEY: &[u8] = b"stream records";
 /// Shortest time for which an origin is kept.
 const MIN_LIFETIME: Duration = Duration::from_secs(15);
 /// Longest time for which an origin is kept.
@@ -34,8 +38,9 @@
 
 /// Maximum number of streams that a daemon writes to the store.
 const MAX_UNFINISHED: usize = 4_096;
-/// Time for which a relayed stream is written to the store after it was last relayed.
-const RELAYED_RETENTION: Duration = Duration::from_secs(5);
+/// Time for which a relayed stream is written to the store after it was last relayed: longer than
+/// the intervals at which daemons relay.
+const RELAYED_RETENTION: Duration = Duration::from_secs(1);
 /// Key prefix of the records of streams in the store.
 const RECORD_PREFIX: &str = "lapismoor/streams/";
 
@@ -172,6 +177,16 @@
     }
 }
 
+/// The daemons that write the fleet's unfinished streams to the store, in order of preference. The
+/// others that read the store send them theirs, and those that a daemon sent to them.
+#[must_use]
+pub fn record_writers(daemons: &[DaemonRecord]) -> Vec<&DaemonRecord> {
+    let mut readers = store_readers(daemons);
+    readers.sort_by_cached_key(|one| hash_parts(&[WRITER_KEY, one.id.as_bytes()]));
+    readers.truncate(RECORD_WRITERS);
+    readers
+}
+
 /// Key of the record of a daemon's unfinished streams. A daemon that starts again does not
 /// overwrite the record of its predecessor.
 #[must_use]
@@ -185,41 +200,55 @@
     key.starts_with(RECORD_PREFIX)
 }
 
-/// Bytes of one stream in a record: stream, version and lifetime in milliseconds.
-const ROW_BYTES: usize = 20;
+/// Bytes of one stream in a record: its key, and its lifetime in tenths of a second.
+const ROW_BYTES: usize = 10;
 
-/// Encodes the value of a record of streams.
+/// Encodes the value of a record of streams: for each version its hash, the number of its streams,
+/// and these.
 #[must_use]
 pub fn encode_streams(streams: &[StreamOrigin]) -> Vec<u8> {
+    let mut sorted = streams.to_vec();
+    sorted.sort_by_key(|origin| (origin.version, origin.stream));
     let mut value = Vec::with_capacity(streams.len() * ROW_BYTES);
-    for origin in streams {
-        let lifetime_ms = u32::try_from(origin.lifetime.as_millis()).unwrap_or(u32::MAX);
-        value.extend_from_slice(&origin.stream.to_le_bytes());
-        value.extend_from_slice(&origin.version.to_le_bytes());
-        value.extend_from_slice(&lifetime_ms.to_le_bytes());
+    for of_version in sorted.chunk_by(|left, right| left.version == right.version) {
+        let count = u32::try_from(of_version.len()).unwrap_or(u32::MAX);
+        value.extend_from_slice(&of_version[0].version.to_le_bytes());
+        value.extend_from_slice(&count.to_le_bytes());
+        for origin in of_version {
+            let tenths = origin.lifetime.as_millis().div_ceil(100);
+            let tenths = u16::try_from(tenths).unwrap_or(u16::MAX);
+            value.extend_from_slice(&origin.stream.to_le_bytes());
+            value.extend_from_slice(&tenths.to_le_bytes());
+        }
     }
     value
 }
 
-/// Decodes the value of a record of streams; none if it has another length.
+/// Decodes the value of a record of streams; none if it is cut off.
 #[must_use]
-pub fn decode_streams(value: &[u8]) -> Option<Vec<StreamOrigin>> {
-    let (rows, rest) = value.as_chunks::<ROW_BYTES>();
-    let origins = rows.iter().map(|row| {
-        let (stream, row) = row.split_first_chunk()?;
-        let (version, row) = row.split_first_chunk()?;
-        let (lifetime_ms, _) = row.split_first_chunk()?;
-        Some(StreamOrigin {
-            stream: u64::from_le_bytes(*stream),
-            version: u64::from_le_bytes(*version),
-            lifetime: Duration::from_millis(u32::from_le_bytes(*lifetime_ms).into()),
-        })
-    });
-    if rest.is_empty() {
-        origins.collect()
-    } else {
-        None
+pub fn decode_streams(mut value: &[u8]) -> Option<Vec<StreamOrigin>> {
+    let mut origins = Vec::new();
+    while !value.is_empty() {
+        let version = u64::from_le_bytes(take(&mut value)?);
+        let count = u32::from_le_bytes(take(&mut value)?);
+        for _ in 0..count {
+            let stream = u64::from_le_bytes(take(&mut value)?);
+            let tenths = u16::from_le_bytes(take(&mut value)?);
+            origins.push(StreamOrigin {
+                stream,
+                version,
+                lifetime: Duration::from_millis(u64::from(tenths) * 100),
+            });
+        }
     }
+    Some(origins)
+}
+
+/// Takes the first bytes of a value.
+fn take<const BYTES: usize>(value: &mut &[u8]) -> Option<[u8; BYTES]> {
+    let (first, rest) = value.split_first_chunk()?;
+    *value = rest;
+    Some(*first)
 }
 
 /// Time for which a stream may be taken up, and for which a version that served counts, if callers
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -43,8 +43,13 @@
         }),
         take_permit: Rc::new(move |request| for_permits.answer_permit(&request)),
         tell_limits: Rc::new(move |limits| for_limits.merge_limits(&limits, OTHER_DAEMON)),
-        tell_streams: Rc::new(move |streams| {
-            for_streams.keep_origins(&streams, OriginSource::Told);
+        tell_streams: Rc::new(move |streams, are_relayed| {
+            let source = if are_relayed {
+                OriginSource::Relayed
+            } else {
+                OriginSource::Told
+            };
+            for_streams.keep_origins(&streams, source);
         }),
         find_stream: Rc::new(move |stream| for_lookups.find_origin(stream)),
     }
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -232,6 +232,18 @@
         None
     }
 
+    /// Relays streams to a daemon that writes them to the store. Returns whether it took them.
+    pub(crate) async fn relay_streams(
+        &self,
+        daemon: &DaemonRecord,
+        streams: &[StreamOrigin],
+    ) -> bool {
+        let relayed = self.call_holder(daemon, "relay", async |writer| {
+            writer.tell_streams(streams, true).await
+        });
+        relayed.await.is_some()
+    }
+
     /// Tells streams of this daemon to the daemons that hold them.
     fn tell_streams(self: &Rc<Self>, streams: &[StreamOrigin]) {
         for stream in streams {
@@ -287,7 +299,7 @@
             return;
         }
         let told = edge.call_holder(&daemon, "tell", async |holder| {
-            holder.tell_streams(&streams).await
+            holder.tell_streams(&streams, false).await
         });
         if told.await.is_none() {
             // Other daemons hold them too.
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -21,8 +21,8 @@
   tellLimits @5 (limits :List(TargetLimit)) -> ();
   # Limits that have changed.
 
-  tellStreams @6 (streams :List(StreamOrigin)) -> ();
-  # Streams that the caller has begun.
+  tellStreams @6 (streams :List(StreamOrigin), areRelayed :Bool) -> ();
+  # Streams that the caller has begun, or relays to be written to the store.
 
   findStream @7 (stream :UInt64) -> (isKnown :Bool, version :UInt64);
   # The software version that began a stream.
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -182,12 +182,17 @@
         Ok(())
     }
 
-    /// Tells where streams have begun.
+    /// Tells where streams have begun. If they are relayed, the daemon writes them to the store.
     ///
     /// # Errors
     /// [`MirrorError::Call`] if the call fails.
-    pub async fn tell_streams(&self, streams: &[StreamOrigin]) -> Result<(), MirrorError> {
+    pub async fn tell_streams(
+        &self,
+        streams: &[StreamOrigin],
+        are_relayed: bool,
+    ) -> Result<(), MirrorError> {
         let mut call = self.mirror.tell_streams_request();
+        call.get().set_are_relayed(are_relayed);
         let count = u32::try_from(streams.len()).unwrap_or(u32::MAX);
         write_streams(streams, call.get().init_streams(count));
         call.send().promise.await.context(CallSnafu)?;
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -42,8 +42,8 @@
     pub take_permit: Rc<dyn Fn(PermitRequest) -> PermitAnswer>,
     /// Merges limits that another daemon learned.
     pub tell_limits: Rc<dyn Fn(Vec<TargetLimit>)>,
-    /// Keeps where another daemon has begun streams.
-    pub tell_streams: Rc<dyn Fn(Vec<StreamOrigin>)>,
+    /// Keeps where another daemon has begun streams; the flag tells whether they are relayed.
+    pub tell_streams: Rc<dyn Fn(Vec<StreamOrigin>, bool)>,
     /// Finds the software version that began a stream.
     pub find_stream: Rc<dyn Fn(StreamKey) -> Option<VersionHash>>,
 }
@@ -168,11 +168,12 @@
         params: store_mirror::TellStreamsParams,
         _: store_mirror::TellStreamsResults,
     ) -> capnp::Result<()> {
-        let streams = params.get()?.get_streams()?;
+        let request = params.get()?;
+        let streams = request.get_streams()?;
         if streams.len() > MAX_STREAMS {
             return Err(capnp::Error::failed("too many streams in one call".into()));
         }
-        (self.source.tell_streams)(read_streams(streams));
+        (self.source.tell_streams)(read_streams(streams), request.get_are_relayed());
         Ok(())
     }
 
