Let a daemon that was cut off ask before it takes the version it lists for the only one

What callers could get: a stream joined from two versions, at a daemon that was cut off from the store and from others less than 2.6 s before. It did not know the second version yet, nobody answered, and its list counted as current.

Cause: an old list was ruled out, a list that is just older than the change was not. Now a daemon that lists others needs an answer of one of them, and those that answer tell whether they know of several versions.

--- a/crates/core/src/membership/versions.rs
+++ b/crates/core/src/membership/versions.rs
@@ -168,8 +168,12 @@
     /// The versions at which a stream of a service may have begun that a caller can still take up,
     /// if streams last at most for `lifetime`.
     #[must_use]
-    pub fn possible(&self, now: Moment, service: &str, lifetime: Duration) -> PossibleVersions {
-        let service = service_hash(service);
+    pub fn possible(
+        &self,
+        now: Moment,
+        service: ServiceHash,
+        lifetime: Duration,
+    ) -> PossibleVersions {
         let first = self.seen.partition_point(|seen| seen.key.service < service);
         let of_service = self.seen[first..].iter();
         let of_service = of_service.take_while(|seen| seen.key.service == service);
@@ -238,6 +242,8 @@
     }
 }
 
-fn service_hash(service: &str) -> ServiceHash {
+/// Names a service in messages between daemons.
+#[must_use]
+pub fn service_hash(service: &str) -> ServiceHash {
     hash_parts(&[service.as_bytes()])
 }
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -6,6 +6,8 @@
 pub mod version;
 
 pub use events::EventSplitter;
-pub use origins::{OriginSource, StreamOrigin, StreamOrigins, origin_holders, stream_lifetime};
+pub use origins::{
+    OriginSource, StreamLookup, StreamOrigin, StreamOrigins, origin_holders, stream_lifetime,
+};
 pub use resumption::ResumedStream;
 pub use version::VersionBinding;
--- a/crates/core/src/stream/origins.rs
+++ b/crates/core/src/stream/origins.rs
@@ -71,6 +71,15 @@
 }
 
 value! {
+    /// What a daemon knows of a stream.
+    #[derive(Copy, Default)]
+    pub struct StreamLookup {
+        /// Version that began it, if the daemon knows it.
+        pub version: Option<VersionHash>,
+        /// Whether several versions of its service may have begun it.
+        pub are_several: bool,
+    }
+
     /// How a daemon learned of an origin.
     #[derive(Copy)]
     pub enum OriginSource {
--- a/crates/core/src/stream/resumption.rs
+++ b/crates/core/src/stream/resumption.rs
@@ -24,6 +24,8 @@
         pub asked: usize,
         /// Those that answered.
         pub answered: usize,
+        /// Whether one of them knows that several versions may have begun it.
+        pub others_know_several: bool,
         /// Whether this daemon's copy of the store is current.
         pub is_list_current: bool,
     }
@@ -31,15 +33,16 @@
 
 impl ResumedStream {
     /// The version that began the stream, as far as it can be told. One whose origin is unknown
-    /// must have begun at the only possible version; but a daemon that reaches neither the store
-    /// nor others may not know of another one.
+    /// must have begun at the only possible version. A daemon that was cut off may not have learned
+    /// of another one yet, so that its list alone does not tell as long as there are others.
     #[must_use]
     pub fn version(&self) -> Option<VersionHash> {
         match (self.origin, self.possible) {
             (Some(version), _) => Some(version),
             (None, PossibleVersions::One(version)) => {
-                let is_informed = self.answered > 0 || self.is_list_current;
-                is_informed.then_some(version)
+                let is_alone = self.asked == 0 && self.is_list_current;
+                let is_informed = is_alone || self.answered > 0;
+                (is_informed && !self.others_know_several).then_some(version)
             }
             (None, _) => None,
         }
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lapismoor_core::membership::versions::service_hash;
 use lapismoor_core::membership::{
     DaemonRecord, Directory, Mark, PossibleVersions, ServiceVersion, TargetEntry, TargetState,
     VersionHistory,
@@ -143,7 +144,8 @@
 fn version_counts_until_its_streams_have_ended() {
     let lifetime = at(20);
     let mut history = VersionHistory::default();
-    let possible = |history: &VersionHistory, now| history.possible(now, "pool", lifetime);
+    let possible =
+        |history: &VersionHistory, now| history.possible(now, service_hash("pool"), lifetime);
     assert_eq!(possible(&history, at(0)), PossibleVersions::None);
     assert!(history.record(at(0), version(1)));
     assert!(!history.record(at(10), version(1)));
--- a/crates/edge/src/serve/resumption.rs
+++ b/crates/edge/src/serve/resumption.rs
@@ -31,6 +31,7 @@
         has_events: envelope.last_event.is_some(),
         asked: found.asked,
         answered: found.answered,
+        others_know_several: found.others_know_several,
         is_list_current: job.edge.has_current_list(),
     };
     report::stream_taken_up(job, &found, resumed.version());
@@ -46,11 +47,12 @@
         return FoundStream::default();
     };
     let stream = job.stream_key(resumes);
-    let found = job.edge.find_stream(stream).await;
+    let found = job.edge.find_stream(stream, &job.request.service).await;
     let possible = job.edge.possible_versions(&job.request.service);
-    if found.origin.is_some() || possible != PossibleVersions::Several {
+    let are_several = possible == PossibleVersions::Several || found.others_know_several;
+    if found.origin.is_some() || !are_several {
         return found;
     }
     tokio::time::sleep(ASK_AGAIN_AFTER).await;
-    job.edge.find_stream(stream).await
+    job.edge.find_stream(stream, &job.request.service).await
 }
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -51,7 +51,7 @@
             };
             for_streams.keep_origins(&streams, source);
         }),
-        find_stream: Rc::new(move |stream| for_lookups.find_origin(stream)),
+        find_stream: Rc::new(move |stream, service| for_lookups.look_up_stream(stream, service)),
     }
 }
 
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -10,8 +10,11 @@
 use futures::stream::FuturesUnordered;
 use lapismoor_core::Moment;
 use lapismoor_core::ids::{DaemonId, StreamKey, VersionHash};
+use lapismoor_core::membership::versions::{ServiceHash, service_hash};
 use lapismoor_core::membership::{DaemonRecord, PossibleVersions, ServiceVersion, VersionMark};
-use lapismoor_core::stream::{OriginSource, StreamOrigin, origin_holders, stream_lifetime};
+use lapismoor_core::stream::{
+    OriginSource, StreamLookup, StreamOrigin, origin_holders, stream_lifetime,
+};
 use lapismoor_mirror::{MirrorClient, MirrorError};
 
 use crate::context::{Edge, State, short_version};
@@ -79,6 +82,8 @@
     pub asked: usize,
     /// Those that answered.
     pub answered: usize,
+    /// Whether one of them knows several versions at which it may have begun.
+    pub others_know_several: bool,
 }
 
 impl Edge {
@@ -120,6 +125,18 @@
         }
     }
 
+    /// What this daemon knows of a stream, for others.
+    pub(crate) fn look_up_stream(&self, stream: StreamKey, service: ServiceHash) -> StreamLookup {
+        let now = self.now();
+        let state = self.state.borrow();
+        let lifetime = state.max_stream_lifetime();
+        let possible = state.versions.possible(now, service, lifetime);
+        StreamLookup {
+            version: state.origins.find(now, stream),
+            are_several: possible == PossibleVersions::Several,
+        }
+    }
+
     /// The version that began a stream, as far as this daemon knows.
     pub(crate) fn find_origin(&self, stream: StreamKey) -> Option<VersionHash> {
         self.state.borrow().origins.find(self.now(), stream)
@@ -129,7 +146,9 @@
     pub(crate) fn possible_versions(&self, service: &str) -> PossibleVersions {
         let lifetime = self.lifetime_of_streams(service);
         let state = self.state.borrow();
-        state.versions.possible(self.now(), service, lifetime)
+        state
+            .versions
+            .possible(self.now(), service_hash(service), lifetime)
     }
 
     /// Whether targets of a service that are in use have a version.
@@ -169,7 +188,7 @@
     }
 
     /// Finds where a stream began, at this daemon or at those that hold it.
-    pub(crate) async fn find_stream(&self, stream: StreamKey) -> FoundStream {
+    pub(crate) async fn find_stream(&self, stream: StreamKey, service: &str) -> FoundStream {
         if let Some(version) = self.find_origin(stream) {
             return FoundStream {
                 origin: Some((version, self.settings.daemon.clone())),
@@ -178,8 +197,11 @@
         }
         let holders = self.other_holders(stream);
         let asking = holders.iter().map(|daemon| async move {
-            let answer = self.ask_for_stream(daemon, stream).await;
-            (daemon, answer)
+            let service = service_hash(service);
+            let answer = self.call_holder(daemon, "find", async |holder| {
+                holder.find_stream(stream, service).await
+            });
+            (daemon, answer.await)
         });
         let mut asking: FuturesUnordered<_> = asking.collect();
         let mut found = FoundStream {
@@ -187,8 +209,12 @@
             ..FoundStream::default()
         };
         while let Some((daemon, answer)) = asking.next().await {
-            found.answered += usize::from(answer.is_some());
-            if let Some(version) = answer.flatten() {
+            let Some(answer) = answer else {
+                continue;
+            };
+            found.answered += 1;
+            found.others_know_several |= answer.are_several;
+            if let Some(version) = answer.version {
                 found.origin = Some((version, daemon.id.clone()));
                 break;
             }
@@ -196,18 +222,6 @@
         found
     }
 
-    /// The answer of a daemon to whether it knows a stream; `None` if it gave none.
-    async fn ask_for_stream(
-        &self,
-        daemon: &DaemonRecord,
-        stream: StreamKey,
-    ) -> Option<Option<VersionHash>> {
-        self.call_holder(daemon, "find", async |holder| {
-            holder.find_stream(stream).await
-        })
-        .await
-    }
-
     /// Calls a daemon that holds streams, and returns its answer; `None` if it gave none.
     async fn call_holder<T>(
         &self,
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -24,8 +24,8 @@
   tellStreams @6 (streams :List(StreamOrigin), areRelayed :Bool) -> ();
   # Streams that the caller has begun, or relays to be written to the store.
 
-  findStream @7 (stream :UInt64) -> (isKnown :Bool, version :UInt64);
-  # The software version that began a stream.
+  findStream @7 (stream :UInt64, service :UInt64) -> (isKnown :Bool, version :UInt64, areSeveral :Bool);
+  # The software version that began a stream, and whether several versions of its service may have.
 }
 
 struct StreamOrigin {
--- a/crates/mirror/src/client.rs
+++ b/crates/mirror/src/client.rs
@@ -5,10 +5,11 @@
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use lapismoor_core::admission::target_limits::{PermitAnswer, PermitRequest, TargetLimit};
-use lapismoor_core::ids::{StoreRevision, StreamKey, VersionHash};
+use lapismoor_core::ids::{StoreRevision, StreamKey};
 use lapismoor_core::membership::StoreItem;
+use lapismoor_core::membership::versions::ServiceHash;
 use lapismoor_core::routing::{FleetSample, Observations};
-use lapismoor_core::stream::StreamOrigin;
+use lapismoor_core::stream::{StreamLookup, StreamOrigin};
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpStream;
 use tokio_util::compat::TokioAsyncReadCompatExt;
@@ -199,16 +200,24 @@
         Ok(())
     }
 
-    /// Asks for the software version that began a stream; `None` if the daemon does not know it.
+    /// Asks for the software version that began a stream of a service.
     ///
     /// # Errors
     /// [`MirrorError::Call`] if the call fails.
-    pub async fn find_stream(&self, stream: StreamKey) -> Result<Option<VersionHash>, MirrorError> {
+    pub async fn find_stream(
+        &self,
+        stream: StreamKey,
+        service: ServiceHash,
+    ) -> Result<StreamLookup, MirrorError> {
         let mut call = self.mirror.find_stream_request();
         call.get().set_stream(stream);
+        call.get().set_service(service);
         let response = call.send().promise.await.context(CallSnafu)?;
         let results = response.get().context(CallSnafu)?;
-        Ok(results.get_is_known().then(|| results.get_version()))
+        Ok(StreamLookup {
+            version: results.get_is_known().then(|| results.get_version()),
+            are_several: results.get_are_several(),
+        })
     }
 }
 
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -6,10 +6,11 @@
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::future::LocalBoxFuture;
 use lapismoor_core::admission::target_limits::{PermitAnswer, PermitRequest, TargetLimit};
-use lapismoor_core::ids::{StoreRevision, StreamKey, VersionHash};
+use lapismoor_core::ids::{StoreRevision, StreamKey};
 use lapismoor_core::membership::StoreItem;
+use lapismoor_core::membership::versions::ServiceHash;
 use lapismoor_core::routing::{FleetSample, Observations};
-use lapismoor_core::stream::StreamOrigin;
+use lapismoor_core::stream::{StreamLookup, StreamOrigin};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -44,8 +45,8 @@
     pub tell_limits: Rc<dyn Fn(Vec<TargetLimit>)>,
     /// Keeps where another daemon has begun streams; the flag tells whether they are relayed.
     pub tell_streams: Rc<dyn Fn(Vec<StreamOrigin>, bool)>,
-    /// Finds the software version that began a stream.
-    pub find_stream: Rc<dyn Fn(StreamKey) -> Option<VersionHash>>,
+    /// Finds the software version that began a stream of a service.
+    pub find_stream: Rc<dyn Fn(StreamKey, ServiceHash) -> StreamLookup>,
 }
 
 /// Accepts connections from other daemons forever and adds the bytes exchanged to `counter`. Must
@@ -182,9 +183,11 @@
         params: store_mirror::FindStreamParams,
         mut results: store_mirror::FindStreamResults,
     ) -> capnp::Result<()> {
-        let found = (self.source.find_stream)(params.get()?.get_stream());
-        results.get().set_is_known(found.is_some());
-        results.get().set_version(found.unwrap_or_default());
+        let request = params.get()?;
+        let found = (self.source.find_stream)(request.get_stream(), request.get_service());
+        results.get().set_is_known(found.version.is_some());
+        results.get().set_version(found.version.unwrap_or_default());
+        results.get().set_are_several(found.are_several);
         Ok(())
     }
 }
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -13,7 +13,7 @@
 use lapismoor_core::ids::StoreRevision;
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations, PartRequests, PartShare, TargetLoad};
-use lapismoor_core::stream::StreamOrigin;
+use lapismoor_core::stream::{StreamLookup, StreamOrigin};
 use lapismoor_mirror::{ByteCounter, MirrorAnswer, MirrorClient, MirrorError, MirrorSource, serve};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -58,7 +58,13 @@
         tell_streams: Rc::new(|streams, are_relayed| {
             assert_eq!((streams, are_relayed), (self::streams(), true));
         }),
-        find_stream: Rc::new(|stream| (stream == u64::MAX).then_some(u64::MAX - 1)),
+        find_stream: Rc::new(|stream, service| {
+            assert_eq!(service, 9);
+            StreamLookup {
+                version: (stream == u64::MAX).then_some(u64::MAX - 1),
+                are_several: stream == 7,
+            }
+        }),
     }
 }
 
@@ -247,10 +253,12 @@
             let client = connected_client().await;
             let told = client.tell_streams(&streams(), true).await;
             told.expect("the call succeeds");
-            let found = client.find_stream(u64::MAX).await;
-            assert_eq!(found.expect("the call succeeds"), Some(u64::MAX - 1));
-            let unknown = client.find_stream(7).await;
-            assert_eq!(unknown.expect("the call succeeds"), None);
+            let found = client.find_stream(u64::MAX, 9).await.expect("an answer");
+            assert_eq!(found.version, Some(u64::MAX - 1));
+            assert!(!found.are_several);
+            let unknown = client.find_stream(7, 9).await.expect("an answer");
+            assert_eq!(unknown.version, None);
+            assert!(unknown.are_several);
         })
         .await;
 }
