Split who may serve a request from how a target is chosen, and name the interfaces of the new parts

Cause: choice.rs decides at once which targets may get a request, whether each has room, and which one is best. Cold targets, evacuations and home regions all bind the first of these, on each way on which a request reaches a target.

Change: routing/candidates.rs holds the first two, unchanged. TargetQuery names the home regions of a request (empty so far), messages between daemons carry the remaining cold time of a target and its pace (zero so far).

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -10,7 +10,9 @@
 use lapismoor_core::admission::Priority;
 use lapismoor_core::admission::queue::{Queue, QueuedItem};
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
-use lapismoor_core::routing::{AffinityPreference, Chooser, LoadBound, PromptPart, TargetQuery};
+use lapismoor_core::routing::{
+    AffinityPreference, Chooser, Homes, LoadBound, PromptPart, TargetQuery,
+};
 use lapismoor_core::stream::VersionBinding;
 
 const ENGINES: u16 = 600;
@@ -55,6 +57,7 @@
                     may_repeat_target: false,
                     preference: AffinityPreference::default(),
                     priority: &Priority::default(),
+                    homes: Homes::default(),
                     permits_denied: 0,
                 };
                 black_box(chooser.choose(Moment::ZERO, &directory, &query))
--- a/crates/core/src/admission/target_limits/messages.rs
+++ b/crates/core/src/admission/target_limits/messages.rs
@@ -20,6 +20,8 @@
         pub age: Duration,
         /// Time from the request to the answer.
         pub round_trip: Duration,
+        /// Time for which the target stays cold; zero if it is warm.
+        pub cold_left: Duration,
     }
 
     /// Request for a permit.
@@ -64,6 +66,7 @@
             rate: notice.rate,
             age: notice.age(now),
             round_trip: notice.received_at.saturating_sub(notice.sent_at),
+            cold_left: Duration::ZERO,
         }
     }
 
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -34,6 +34,8 @@
 pub type ProfileId = CompactString;
 /// Name of a failure domain.
 pub type FailureDomain = CompactString;
+/// Name of a region, which has one or more failure domains.
+pub type Region = CompactString;
 /// Random number that a daemon generates at start; distinguishes it from earlier incarnations under
 /// the same name.
 pub type Incarnation = u64;
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -13,6 +13,8 @@
 use crate::clock::Moment;
 use crate::ids::{FailureDomain, ServiceId, TargetKey};
 use crate::membership::{Directory, KnownTarget};
+use crate::routing::candidates::{Candidate, candidates, least_loaded, why_unavailable};
+use crate::routing::home_regions::Homes;
 use crate::routing::popularity::Popularity;
 use crate::routing::rendezvous::{rendezvous_first, rendezvous_order};
 use crate::stream::VersionBinding;
@@ -26,16 +28,6 @@
 /// Added to the load of targets in other failure domains when loads are compared, so that one of
 /// them is preferred only if it has this many requests fewer in flight.
 const DOMAIN_COST_REQUESTS: f64 = 1.0;
-/// Permits that a request asks for before it goes to a target without a limit, or to none. Each one
-/// takes a call to another daemon.
-const MAX_PERMITS_DENIED: usize = 4;
-/// Part of the slots of a target without a limit that requests may use while other targets have
-/// limits.
-const OVERFLOW_FRACTION: f64 = 0.75;
-/// Time until a target without a free slot may have one.
-const OVERFLOW_WAIT: Duration = Duration::from_millis(250);
-/// Time until a request that has asked for all its permits may find room elsewhere.
-const PERMIT_PAUSE: Duration = Duration::from_millis(50);
 
 value! {
     /// A contiguous part of a prompt, the unit of cache reuse.
@@ -110,6 +102,8 @@
     pub preference: AffinityPreference,
     /// Urgency and workspace, by which targets with a limit have room or not.
     pub priority: &'a Priority,
+    /// Regions in which the request may be served.
+    pub homes: Homes<'a>,
     /// Permits that were asked for in vain. The request is counted once, and asks for a few.
     pub permits_denied: usize,
 }
@@ -174,30 +168,6 @@
     popularity: BTreeMap<ServiceId, Popularity>,
 }
 
-struct Candidate<'a> {
-    target: &'a KnownTarget,
-    load: f64,
-    is_usable: bool,
-    is_healthy: bool,
-    /// Time until the target may have room within its limit; zero if it may now.
-    room_in: Duration,
-}
-
-impl Candidate<'_> {
-    fn has_limit(&self) -> bool {
-        self.target.limit.rate().is_some()
-    }
-
-    /// Whether only its limit keeps the target from getting the request.
-    fn is_limited(&self) -> bool {
-        self.is_usable && !self.room_in.is_zero()
-    }
-
-    fn may_get_request(&self) -> bool {
-        self.is_usable && self.room_in.is_zero()
-    }
-}
-
 impl Chooser {
     /// Creates a chooser for a daemon in `domain`; `bound` is the load bound of the fleet.
     #[must_use]
@@ -420,82 +390,3 @@
     let tokens = placement_parts(parts).iter().map(|part| part.tokens);
     tokens.fold(0, u32::saturating_add)
 }
-
-/// Why no candidate can get a request.
-fn why_unavailable(now: Moment, candidates: &[Candidate<'_>]) -> NoTarget {
-    let limited = candidates.iter().filter(|one| one.is_limited());
-    if let Some(first) = limited.min_by_key(|one| one.room_in) {
-        return NoTarget::Limited {
-            left: first.room_in,
-            target: first.target.key,
-        };
-    }
-    let pauses = candidates.iter().map(|one| one.target.pause.left(now));
-    match pauses.min() {
-        Some(left) if !left.is_zero() => NoTarget::Paused { left },
-        _ => NoTarget::NoneReachable,
-    }
-}
-
-/// Time until a target may have room for a request within its limit.
-fn room_in(now: Moment, target: &KnownTarget, query: &TargetQuery<'_>) -> Duration {
-    let room_in = target.limit.room_in(now, query.priority);
-    if query.permits_denied < MAX_PERMITS_DENIED || target.limit.rate().is_none() {
-        return room_in;
-    }
-    room_in.max(PERMIT_PAUSE)
-}
-
-fn least_loaded(candidates: &[Candidate<'_>]) -> Option<usize> {
-    let usable = |position: &usize| candidates[*position].may_get_request();
-    (0..candidates.len())
-        .filter(usable)
-        .min_by(|left, right| candidates[*left].load.total_cmp(&candidates[*right].load))
-}
-
-fn candidates<'a>(
-    now: Moment,
-    directory: &'a Directory,
-    query: &TargetQuery<'a>,
-) -> Vec<Candidate<'a>> {
-    let targets = directory.in_use(query.service);
-    let targets: Vec<&KnownTarget> = targets
-        .filter(|target| query.version.allows(target.version))
-        .collect();
-    let reports = targets
-        .iter()
-        .filter_map(|target| target.load.fresh_others(now));
-    let (sum, count) = reports.fold((0_u32, 0_u32), |(sum, count), one| (sum + one, count + 1));
-    let mean_others = f64::from(sum) / f64::from(count.max(1));
-    let is_untried =
-        |target: &KnownTarget| target.is_available(now) && !query.tried.contains(&target.key);
-    let has_untried = targets.iter().any(|target| is_untried(target));
-    let may_repeat = query.may_repeat_target && !has_untried;
-    let may_get_request =
-        |target: &KnownTarget| is_untried(target) || (may_repeat && target.is_available(now));
-    let to_candidate = |target: &'a KnownTarget| Candidate {
-        load: target.load.estimate(now, mean_others),
-        is_usable: may_get_request(target),
-        is_healthy: !target.breaker.is_failing(now),
-        room_in: room_in(now, target, query),
-        target,
-    };
-    let mut candidates: Vec<Candidate<'_>> = targets.into_iter().map(to_candidate).collect();
-    if candidates.iter().any(Candidate::has_limit) {
-        for candidate in candidates.iter_mut().filter(|one| !one.has_limit()) {
-            candidate.room_in = overflow_wait(candidate);
-        }
-    }
-    candidates
-}
-
-/// Time until a target without a limit may have room for what others don't take within theirs. It
-/// would answer all of its requests late if most of its slots were taken.
-fn overflow_wait(candidate: &Candidate<'_>) -> Duration {
-    let slots = f64::from(candidate.target.entry.slots);
-    if slots == 0.0 || candidate.load < (slots * OVERFLOW_FRACTION).max(1.0) {
-        Duration::ZERO
-    } else {
-        OVERFLOW_WAIT
-    }
-}
--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -52,6 +52,8 @@
         pub requests: u32,
         /// Age of the report.
         pub age: Duration,
+        /// Time that work takes there now, in percent of the usual, if it is known.
+        pub pace_percent: Option<u16>,
     }
 
     /// New observations of one daemon.
@@ -192,6 +194,7 @@
             target: target.hash,
             requests,
             age: now.saturating_sub(reported_at),
+            pace_percent: None,
         })
     };
     let mut loads: Vec<TargetLoad> = targets
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,9 +1,11 @@
 //! Routing: matches a request to a route, selects a service, and chooses a target by cache affinity
 //! and load.
 
+mod candidates;
 pub mod choice;
 pub mod config;
 pub mod fleet_sample;
+pub mod home_regions;
 pub mod idle_connection_limit;
 pub mod load;
 pub mod popularity;
@@ -17,6 +19,7 @@
 };
 pub use config::{CallerLimits, RoutingConfig, Service, Workspace};
 pub use fleet_sample::{FleetSample, Observations, TargetLoad};
+pub use home_regions::{Homes, Regions};
 pub use idle_connection_limit::idle_connection_limit;
 pub use load::{LoadView, ReportedLoad};
 pub use popularity::{PartRequests, PartShare, Popularity};
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -14,7 +14,8 @@
     merge_observations, take_observations,
 };
 use lapismoor_core::routing::{
-    AffinityPreference, Chooser, LoadBound, Observations, PromptPart, ReportedLoad, TargetQuery,
+    AffinityPreference, Chooser, Homes, LoadBound, Observations, PromptPart, ReportedLoad,
+    TargetQuery,
 };
 use lapismoor_core::stream::VersionBinding;
 use rand::{RngExt, SeedableRng};
@@ -303,6 +304,7 @@
             may_repeat_target: false,
             preference: AffinityPreference::default(),
             priority: &Priority::default(),
+            homes: Homes::default(),
             permits_denied: 0,
         };
         let daemon = &mut self.daemons[daemon];
--- a/crates/core/tests/fleet_sample.rs
+++ b/crates/core/tests/fleet_sample.rs
@@ -9,8 +9,8 @@
     apply_sample, collected_observations, fleet_sample, merge_observations, take_observations,
 };
 use lapismoor_core::routing::{
-    AffinityPreference, Choice, Chooser, LoadBound, Observations, PartRequests, PromptPart, Reason,
-    ReportedLoad, TargetQuery,
+    AffinityPreference, Choice, Chooser, Homes, LoadBound, Observations, PartRequests, PromptPart,
+    Reason, ReportedLoad, TargetQuery,
 };
 use lapismoor_core::stream::VersionBinding;
 
@@ -83,6 +83,7 @@
         may_repeat_target: false,
         preference: AffinityPreference::default(),
         priority: &Priority::default(),
+        homes: Homes::default(),
         permits_denied: 0,
     };
     let choice = daemon.chooser.choose(now, &daemon.directory, &query);
@@ -203,6 +204,7 @@
             target: 1,
             requests: 9,
             age: at(0),
+            pace_percent: None,
         }],
         requests: vec![(1, requests)],
         limits: Vec::new(),
--- a/crates/core/tests/limited_homes.rs
+++ b/crates/core/tests/limited_homes.rs
@@ -9,7 +9,8 @@
 use lapismoor_core::ids::TargetKey;
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
 use lapismoor_core::routing::{
-    AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, ReportedLoad, TargetQuery,
+    AffinityPreference, Choice, Chooser, Homes, LoadBound, NoTarget, PromptPart, ReportedLoad,
+    TargetQuery,
 };
 use lapismoor_core::stream::VersionBinding;
 
@@ -90,6 +91,7 @@
         may_repeat_target: false,
         preference: AffinityPreference::default(),
         priority: &Priority::default(),
+        homes: Homes::default(),
         permits_denied: 0,
     };
     chooser.choose(NOW, directory, &query)
--- a/crates/core/tests/placement_by_parts.rs
+++ b/crates/core/tests/placement_by_parts.rs
@@ -6,8 +6,8 @@
 use lapismoor_core::admission::Priority;
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
 use lapismoor_core::routing::{
-    AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, Reason, ReportedLoad,
-    TargetQuery,
+    AffinityPreference, Choice, Chooser, Homes, LoadBound, NoTarget, PromptPart, Reason,
+    ReportedLoad, TargetQuery,
 };
 use lapismoor_core::stream::VersionBinding;
 use test_case::test_case;
@@ -64,6 +64,7 @@
         may_repeat_target: false,
         preference: AffinityPreference::default(),
         priority: &Priority::default(),
+        homes: Homes::default(),
         permits_denied: 0,
     };
     chooser.choose(now, directory, &query)
@@ -282,6 +283,7 @@
             may_repeat_target,
             preference: AffinityPreference::default(),
             priority: &Priority::default(),
+            homes: Homes::default(),
             permits_denied: 0,
         };
         let actual = daemon.choose(at(0), &directory, &query);
@@ -342,6 +344,7 @@
             bound: None,
         },
         priority: &Priority::default(),
+        homes: Homes::default(),
         permits_denied: 0,
     };
     let actual = daemon.choose(at(2), &directory, &query).expect("targets");
@@ -371,6 +374,7 @@
             bound,
         },
         priority: &priority,
+        homes: Homes::default(),
         permits_denied: 0,
     };
     let mut directory = directory;
--- a/crates/core/tests/stream_versions.rs
+++ b/crates/core/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 use lapismoor_core::ids::{TargetKey, VersionHash, version_hash};
 use lapismoor_core::membership::{Directory, DirectoryChange, TargetEntry, TargetState};
 use lapismoor_core::routing::{
-    AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, TargetQuery,
+    AffinityPreference, Choice, Chooser, Homes, LoadBound, NoTarget, PromptPart, TargetQuery,
 };
 use lapismoor_core::stream::VersionBinding;
 use test_case::test_case;
@@ -56,6 +56,7 @@
         may_repeat_target: false,
         preference: AffinityPreference::default(),
         priority: &Priority::default(),
+        homes: Homes::default(),
         permits_denied: 0,
     };
     Chooser::new("east".into(), bound).choose(NOW, directory, &query)
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -14,7 +14,7 @@
     AttemptCounts, AttemptEnd, MAX_SOUND_SILENCE, NextStep, Obstacle, OverdueRequest, RetryPolicy,
     may_replace,
 };
-use lapismoor_core::routing::{Choice, NoTarget, TargetQuery};
+use lapismoor_core::routing::{Choice, Homes, NoTarget, TargetQuery};
 use lapismoor_core::stream::VersionBinding;
 use opentelemetry::trace::SpanKind;
 
@@ -275,6 +275,7 @@
             may_repeat_target,
             preference: self.request.preference.clone(),
             priority: &self.permit_priority,
+            homes: Homes::default(),
             permits_denied,
         };
         let mut state = self.edge.state.borrow_mut();
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -87,6 +87,9 @@
 
   requests @1 :UInt16;
   ageMs @2 :UInt16;
+
+  pacePercent @3 :UInt16;
+  # Time that work takes there now, in percent of the usual; zero if it is not known.
 }
 
 struct ServiceParts {
@@ -114,6 +117,9 @@
 
   roundTripMs @4 :UInt32;
   # Time from the request to that answer.
+
+  coldLeftMs @5 :UInt32;
+  # Time for which the target stays cold; zero if it is warm.
 }
 
 struct PermitRequest {
--- a/crates/mirror/src/limits.rs
+++ b/crates/mirror/src/limits.rs
@@ -31,6 +31,7 @@
         rate: message.get_is_limited().then_some(rate),
         age: Duration::from_millis(message.get_age_ms().into()),
         round_trip: Duration::from_millis(message.get_round_trip_ms().into()),
+        cold_left: Duration::from_millis(message.get_cold_left_ms().into()),
     }
 }
 
@@ -40,6 +41,7 @@
     message.set_per_million_s(limit.rate.map_or(0, RequestRate::per_million_s));
     message.set_age_ms(millis(limit.age));
     message.set_round_trip_ms(millis(limit.round_trip));
+    message.set_cold_left_ms(millis(limit.cold_left));
 }
 
 pub(crate) fn read_request(message: permit_request::Reader<'_>) -> capnp::Result<PermitRequest> {
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -74,6 +74,7 @@
         rate: rate.and_then(RequestRate::from_per_s),
         age: Duration::from_millis(age_ms),
         round_trip: Duration::from_millis(31),
+        cold_left: Duration::from_millis(2_900),
     };
     vec![limit(u32::MAX, Some(2.8), 0), limit(7, None, 65_600)]
 }
@@ -112,6 +113,7 @@
         target,
         requests,
         age: Duration::from_millis(age_ms),
+        pace_percent: (target == 7).then_some(250),
     };
     vec![load(u32::MAX, 0, 0), load(7, 65_535, 2_999)]
 }
--- a/crates/soak/src/compare/distributed.rs
+++ b/crates/soak/src/compare/distributed.rs
@@ -12,7 +12,7 @@
 use lapismoor_core::ids::TargetKey;
 use lapismoor_core::membership::{Directory, TargetEntry, TargetState, TrafficShare};
 use lapismoor_core::routing::{
-    Chooser, LoadBound, PromptPart, ReportedLoad, Service, TargetQuery, profile_route,
+    Chooser, Homes, LoadBound, PromptPart, ReportedLoad, Service, TargetQuery, profile_route,
 };
 use lapismoor_core::stream::VersionBinding;
 
@@ -222,6 +222,7 @@
             may_repeat_target: false,
             preference: profile_route::preference(profile, &self.service),
             priority: &Priority::default(),
+            homes: Homes::default(),
             permits_denied: 0,
         };
         let daemon = &mut self.daemons[daemon_index];
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -14,7 +14,9 @@
 use lapismoor_core::membership::{
     DaemonRecord, Directory, Mirror, Sources, StoreItem, TargetEntry, TargetState,
 };
-use lapismoor_core::routing::{AffinityPreference, Chooser, LoadBound, PromptPart, TargetQuery};
+use lapismoor_core::routing::{
+    AffinityPreference, Chooser, Homes, LoadBound, PromptPart, TargetQuery,
+};
 use lapismoor_core::stream::VersionBinding;
 
 /// Number of decisions averaged for a point.
@@ -178,6 +180,7 @@
             may_repeat_target: false,
             preference: AffinityPreference::default(),
             priority: &Priority::default(),
+            homes: Homes::default(),
             permits_denied: 0,
         };
         black_box(chooser.choose(Duration::from_millis(round.into()), &directory, &demand)).ok();
