--- a/crates/core/src/admission/target_limits/allocator.rs
+++ b/crates/core/src/admission/target_limits/allocator.rs
@@ -15,13 +15,15 @@
 pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Daemons that hand out the permits for one target.
 const ALLOCATORS_PER_TARGET: usize = 2;
-/// Part of a limit that is handed out. With it and [`Rates::burst`], three daemons that take
+/// Part of a limit that is handed out. With it and the burst of [`Rates`], three daemons that take
 /// themselves for one of the two together keep one and a half times the limit.
 const USED_FRACTION: f64 = 0.9;
 /// Groups of targets with the same allocators, which bounds the connections between daemons.
 const TARGET_GROUPS: u32 = 128;
 /// Rendezvous hash key for the selection of allocators.
 const ALLOCATOR_KEY: u64 = 0x5065_726d;
+/// Permits that may be saved up, whatever the rate.
+const BASE_BURST: f64 = 1.5;
 /// Requests that a target gets from time to time whatever it names: only an answer tells whether
 /// the limit has ended.
 const MIN_PER_S: f64 = 0.2;
@@ -49,6 +51,8 @@
 pub struct Rates {
     /// What this daemon may hand out.
     part_per_s: f64,
+    /// Permits that may be saved up.
+    burst: f64,
 }
 
 impl Rates {
@@ -56,14 +60,21 @@
     #[must_use]
     pub fn part_of(rate: RequestRate, daemons: &[DaemonRecord]) -> Self {
         let parts = if daemons.len() == 1 { 1.0 } else { 2.0 };
+        let part_per_s = (USED_FRACTION * rate.per_s()).max(MIN_PER_S) / parts;
         Self {
-            part_per_s: (USED_FRACTION * rate.per_s()).max(MIN_PER_S) / parts,
+            part_per_s,
+            burst: BASE_BURST + 0.4 * part_per_s,
         }
     }
 
-    /// Permits that may be saved up.
-    fn burst(self) -> f64 {
-        1.5 + 0.4 * self.part_per_s
+    /// This daemon's part of what a cold target takes. Three daemons that take themselves for one of
+    /// the two together keep one and a half times the rate and five requests in any second.
+    #[must_use]
+    pub fn part_of_cold(rate: RequestRate, daemons: &[DaemonRecord]) -> Self {
+        Self {
+            burst: BASE_BURST,
+            ..Self::part_of(rate, daemons)
+        }
     }
 }
 
@@ -74,6 +85,14 @@
     daemons.is_empty() || ranked(target, daemons).any(|daemon| daemon.id == own)
 }
 
+/// Whether `own` hands out permits for a cold target, by its list of daemons. One that does not list
+/// itself was cut off, or has just started: others may do so. A window of a second forgives less
+/// than that of named limits.
+#[must_use]
+pub fn is_cold_allocator(target: TargetHash, daemons: &[DaemonRecord], own: &str) -> bool {
+    !daemons.is_empty() && is_allocator(target, daemons, own)
+}
+
 /// Number of daemons to ask for one permit, apart from those that don't answer. In a large fleet
 /// half of the daemons ask each one, so that a second call would find no more on average.
 #[must_use]
@@ -169,9 +188,9 @@
     fn take(&mut self, now: Moment, rates: Rates, priority: &Priority) -> PermitDecision {
         let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
-        self.tokens = (self.tokens + elapsed_s * rates.part_per_s).min(rates.burst());
+        self.tokens = (self.tokens + elapsed_s * rates.part_per_s).min(rates.burst);
         let turn = self.shares.ask(now, rates.part_per_s, priority);
-        let is_unused = self.tokens >= rates.burst();
+        let is_unused = self.tokens >= rates.burst;
         if self.tokens >= 1.0 && (turn.is_due || is_unused) {
             self.tokens -= 1.0;
             self.shares.take(priority);
--- a/crates/core/src/admission/target_limits/messages.rs
+++ b/crates/core/src/admission/target_limits/messages.rs
@@ -5,11 +5,13 @@
 use super::notice::{LimitNotice, RequestRate};
 use crate::admission::Priority;
 use crate::clock::Moment;
+use crate::membership::KnownTarget;
 use crate::routing::fleet_sample::TargetHash;
 
 value! {
-    /// What an answer of a target said about its limit. Daemons have clocks of their own, so that
-    /// times are told as ages.
+    /// What an answer of a target said about its limit, and for how long it stays cold. Daemons have
+    /// clocks of their own, so that times are told as ages. If it is cold and `rate` is `None`, this
+    /// says nothing about a limit, and `age` is that of the word that it is cold.
     #[derive(Copy)]
     pub struct TargetLimit {
         /// The target.
@@ -70,9 +72,62 @@
         }
     }
 
-    /// The notice by the clock of the daemon that is told it at `now`.
+    /// What this daemon knows of a target, as it is told to another one at `now`; `None` if it knows
+    /// neither a limit nor that the target is cold.
     #[must_use]
-    pub fn notice(&self, now: Moment) -> LimitNotice {
+    pub fn of(now: Moment, target: &KnownTarget) -> Option<Self> {
+        let cold = Self::of_cold(now, target, Moment::ZERO);
+        let Some(notice) = target.limit.notice() else {
+            return cold;
+        };
+        let told = Self::told(now, target.hash, &notice);
+        match cold {
+            Some(cold) if told.rate.is_none() => Some(cold),
+            cold => Some(Self {
+                cold_left: cold.map_or(Duration::ZERO, |cold| cold.cold_left),
+                ..told
+            }),
+        }
+    }
+
+    /// That a target is cold by its own word, if this daemon has learned it after `since`.
+    #[must_use]
+    pub fn of_cold(now: Moment, target: &KnownTarget, since: Moment) -> Option<Self> {
+        target.cold_limit?;
+        let (left, age) = target.warmth.changed_since(now, since)?;
+        Some(Self::told_cold(target.hash, left, age))
+    }
+
+    /// Says that a target stays cold for `left`, by a word of the age `age`.
+    #[must_use]
+    pub fn told_cold(target: TargetHash, left: Duration, age: Duration) -> Self {
+        Self {
+            target,
+            rate: None,
+            age,
+            round_trip: Duration::ZERO,
+            cold_left: left,
+        }
+    }
+
+    /// The notice of a limit by the clock of the daemon that is told it at `now`; `None` if this is
+    /// only about a cold target.
+    #[must_use]
+    pub fn limit_notice(&self, now: Moment) -> Option<LimitNotice> {
+        let is_about_limit = self.rate.is_some() || self.cold_left.is_zero();
+        is_about_limit.then(|| self.notice(now))
+    }
+
+    /// When the target said that it is cold, by the clock of the daemon that is told it at `now`.
+    #[must_use]
+    pub fn cold_told_at(&self, now: Moment) -> Moment {
+        if self.rate.is_some() {
+            return now;
+        }
+        now.saturating_sub(self.age)
+    }
+
+    fn notice(&self, now: Moment) -> LimitNotice {
         let received_at = now.saturating_sub(self.age);
         LimitNotice {
             rate: self.rate,
--- a/crates/core/src/admission/target_limits/mod.rs
+++ b/crates/core/src/admission/target_limits/mod.rs
@@ -18,7 +18,8 @@
 mod view;
 
 pub use allocator::{
-    Allocators, LIMIT_WINDOW, PermitDecision, Rates, asks_per_permit, is_allocator, permit_sources,
+    Allocators, LIMIT_WINDOW, PermitDecision, Rates, asks_per_permit, is_allocator,
+    is_cold_allocator, permit_sources,
 };
 pub use messages::{PermitAnswer, PermitRequest, PermitResult, TargetLimit};
 pub use notice::{LimitChange, LimitNotice, RequestRate};
--- a/crates/core/src/admission/target_limits/view.rs
+++ b/crates/core/src/admission/target_limits/view.rs
@@ -32,7 +32,7 @@
     notice: Option<LimitNotice>,
     /// When the rate last changed at this daemon.
     changed_at: Moment,
-    /// Classes without a permit. Invariant: sorted by rank and workspace; empty without a limit.
+    /// Classes without a permit. Invariant: sorted by rank and workspace.
     closed: Vec<ClosedClass>,
     /// Times of the permits that this daemon got. Invariant: ascending; none older than
     /// [`LIMIT_WINDOW`] at the last one.
@@ -112,14 +112,15 @@
         }
     }
 
-    /// Time until a request with this priority may get a permit; zero if one may be asked for now.
+    /// Time until a request with this priority may get a permit, if it needs one; zero if one may be
+    /// asked for now.
     #[must_use]
     pub fn room_in(&self, now: Moment, priority: &Priority) -> Duration {
         let Ok(position) = self.position(priority) else {
             return Duration::ZERO;
         };
         let class = &self.closed[position];
-        if self.rate().is_none() || class.ask_at <= now {
+        if class.ask_at <= now {
             return Duration::ZERO;
         }
         class.room_at.saturating_sub(now)
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -6,13 +6,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::admission::LimitView;
+use crate::admission::{LimitView, RequestRate};
 use crate::clock::Moment;
-use crate::ids::{TargetId, TargetKey, VersionHash, version_hash};
+use crate::ids::{ServiceId, TargetId, TargetKey, VersionHash, version_hash};
 use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
+use crate::membership::warmth::{Coldness, Warmth};
 use crate::retry::{Breaker, Pause};
-use crate::routing::LoadView;
 use crate::routing::fleet_sample::{TargetHash, target_hash};
+use crate::routing::{ColdLimit, LoadView};
 
 /// Shortest store outage after which the entries of live targets may have expired: one heartbeat
 /// interval of a target.
@@ -52,6 +53,12 @@
     pub pause: Pause,
     /// Limit that the target names.
     pub limit: LimitView,
+    /// How warm the target is.
+    pub warmth: Warmth,
+    /// Limit while it is cold, by the configuration of its service.
+    pub cold_limit: Option<ColdLimit>,
+    /// Whether [`Directory::warmth_changes`] last reported the target as cold.
+    is_reported_cold: bool,
     /// Load as this daemon estimates it.
     pub load: LoadView,
     /// When this daemon last received data from the target.
@@ -87,6 +94,8 @@
     /// longer, or again after it was restored. Invariant: sorted; at most [`MAX_SAID_LEAVING`]
     /// long.
     said_leaving: Vec<(TargetIncarnation, SocketAddr, Moment)>,
+    /// Limits of cold targets. Invariant: sorted by service.
+    cold_limits: Vec<(ServiceId, ColdLimit)>,
     /// End of the grace period for entries that expired during an outage of the store.
     relisting_until: Option<Moment>,
 }
@@ -134,6 +143,55 @@
         }
     }
 
+    /// Calls `change` with the warmth of the known targets that messages between daemons call `hash`.
+    pub fn for_each_warmth(
+        &mut self,
+        hash: TargetHash,
+        mut change: impl FnMut(&mut Warmth, &TargetId),
+    ) {
+        for target in self.targets.iter_mut().filter(|one| one.hash == hash) {
+            change(&mut target.warmth, &target.entry.id);
+        }
+    }
+
+    /// Replaces the limits of cold targets.
+    pub fn set_cold_limits(&mut self, mut limits: Vec<(ServiceId, ColdLimit)>) {
+        limits.sort_by(|left, right| left.0.cmp(&right.0));
+        self.cold_limits = limits;
+        for target in &mut self.targets {
+            target.cold_limit = cold_limit(&self.cold_limits, &target.entry.service);
+        }
+    }
+
+    /// Records that the targets of a failure domain may be cold for `left` from now on.
+    pub fn domain_may_be_cold(&mut self, now: Moment, domain: &str, left: Duration) {
+        let targets = self.targets.iter_mut();
+        for target in targets.filter(|target| target.entry.domain == domain) {
+            target.warmth.record_possibly_cold(now, left);
+        }
+    }
+
+    /// Targets that have turned cold or warm since the last call, each with the time for which it
+    /// stays cold and how that is known, and the number of cold ones.
+    pub fn warmth_changes(
+        &mut self,
+        now: Moment,
+    ) -> (Vec<(TargetId, Option<(Duration, Coldness)>)>, usize) {
+        let mut changes = Vec::new();
+        let mut cold_targets = 0;
+        for target in &mut self.targets {
+            let cold = target.cold_rate(now);
+            cold_targets += usize::from(cold.is_some());
+            if cold.is_some() != target.is_reported_cold {
+                target.is_reported_cold = cold.is_some();
+                let left = target.cold_left(now);
+                let change = cold.map(|(_, coldness)| (left, coldness));
+                changes.push((target.entry.id.clone(), change));
+            }
+        }
+        (changes, cold_targets)
+    }
+
     /// Known target that messages between daemons call `hash`.
     #[must_use]
     pub fn find_by_hash(&self, hash: TargetHash) -> Option<&KnownTarget> {
@@ -337,12 +395,18 @@
             breaker: Breaker::default(),
             pause: Pause::default(),
             limit: LimitView::default(),
+            warmth: Warmth::default(),
+            cold_limit: cold_limit(&self.cold_limits, &entry.service),
+            is_reported_cold: false,
             load: LoadView::default(),
             last_received_at: now,
             known_since: now,
             left_at: None,
             entry,
         };
+        target
+            .warmth
+            .record(now, now, target.entry.warmup_remaining);
         if target.entry.state == TargetState::Draining || self.has_said_leaving(&target.entry) {
             target.leave(now);
         }
@@ -380,9 +444,34 @@
         self.breaker.is_closed(now) && self.pause.left(now).is_zero()
     }
 
+    /// Requests per second that the target takes while it is cold, and how it is known to be;
+    /// `None` if it is warm, or its service has no such limit.
+    #[must_use]
+    pub fn cold_rate(&self, now: Moment) -> Option<(RequestRate, Coldness)> {
+        let limit = self.cold_limit?;
+        Some((limit.rate, self.warmth.coldness(now)?))
+    }
+
+    /// Whether requests to the target need a permit: it names a limit, or is cold.
+    #[must_use]
+    pub fn needs_permit(&self, now: Moment) -> bool {
+        self.limit.rate().is_some() || self.cold_rate(now).is_some()
+    }
+
+    /// Time for which the target stays cold; zero if it is warm, or its service has no limit of cold
+    /// targets.
+    #[must_use]
+    pub fn cold_left(&self, now: Moment) -> Duration {
+        let limit = self.cold_limit;
+        limit.map_or(Duration::ZERO, |limit| self.warmth.left(now, limit.start))
+    }
+
     fn update(&mut self, now: Moment, entry: TargetEntry, said_leaving: bool) -> DirectoryChange {
         let is_draining = entry.state == TargetState::Draining || said_leaving;
         self.hash = target_hash(&entry.incarnation());
+        if self.entry.warmup_remaining != entry.warmup_remaining {
+            self.warmth.record(now, now, entry.warmup_remaining);
+        }
         self.entry = entry;
         if is_draining {
             return if self.leave(now) {
@@ -407,3 +496,8 @@
         is_change
     }
 }
+
+fn cold_limit(limits: &[(ServiceId, ColdLimit)], service: &str) -> Option<ColdLimit> {
+    let found = limits.binary_search_by(|(known, _)| known.as_str().cmp(service));
+    found.ok().map(|position| limits[position].1)
+}
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -8,6 +8,7 @@
 pub mod sources;
 pub mod traffic_share;
 pub mod versions;
+pub mod warmth;
 
 pub use crash_watch::CrashWatch;
 pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
@@ -17,3 +18,4 @@
 pub use sources::{DaemonRecord, Source, Sources, is_small_fleet, max_source_age, store_readers};
 pub use traffic_share::TrafficShare;
 pub use versions::{Mark, PossibleVersions, ServiceVersion, VersionHistory, VersionMark};
+pub use warmth::{Coldness, Warmth};
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -60,8 +60,11 @@
 
 /// Time until a target may have room for a request within its limit.
 fn room_in(now: Moment, target: &KnownTarget, query: &TargetQuery<'_>) -> Duration {
+    if !target.needs_permit(now) {
+        return Duration::ZERO;
+    }
     let room_in = target.limit.room_in(now, query.priority);
-    if query.permits_denied < MAX_PERMITS_DENIED || target.limit.rate().is_none() {
+    if query.permits_denied < MAX_PERMITS_DENIED {
         return room_in;
     }
     room_in.max(PERMIT_PAUSE)
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -15,6 +15,7 @@
 use crate::membership::{Directory, KnownTarget};
 use crate::routing::candidates::{Candidate, candidates, least_loaded, why_unavailable};
 use crate::routing::home_regions::Homes;
+use crate::routing::homecoming::takes_part;
 use crate::routing::popularity::Popularity;
 use crate::routing::rendezvous::{rendezvous_first, rendezvous_order};
 use crate::stream::VersionBinding;
@@ -228,7 +229,8 @@
         let names = candidates
             .iter()
             .map(|candidate| candidate.target.entry.id.as_str());
-        let order = rendezvous_order(part.id, names);
+        let mut order = rendezvous_order(part.id, names);
+        order.sort_by_key(|one| !takes_part(now, candidates[*one].target, part.id));
         let homes = self.home_count(now, query, part, candidates.len());
         let reuse_value = self.reuse_value(query);
         let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value);
@@ -347,7 +349,11 @@
         let others = directory.with_cache(now, service);
         let fits =
             |other: &&KnownTarget| other.key != chosen.key && other.version == chosen.version;
-        let others: Vec<&KnownTarget> = others.filter(fits).collect();
+        let mut others: Vec<&KnownTarget> = others.filter(fits).collect();
+        let has_read = |other: &KnownTarget| takes_part(now, other, part.id);
+        if others.iter().any(|other| has_read(other)) {
+            others.retain(|other| has_read(other));
+        }
         let names = others.iter().map(|other| other.entry.id.as_str());
         let first = rendezvous_first(part.id, names)?;
         Some(others[first].key)
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -5,11 +5,21 @@
 
 use compact_str::CompactString;
 
+use crate::admission::RequestRate;
 use crate::ids::{ConfigVersion, ServiceId, WorkspaceId};
 use crate::routing::LoadBound;
 use crate::routing::route::Route;
 
 value! {
+    /// How many requests a target takes while it is cold.
+    #[derive(Copy)]
+    pub struct ColdLimit {
+        /// Time for which a target is cold after its start. Invariant: not zero.
+        pub start: Duration,
+        /// Requests that a cold target takes from all daemons together.
+        pub rate: RequestRate,
+    }
+
     /// A service that routes send requests to.
     pub struct Service {
         /// Unique in the configuration.
@@ -24,6 +34,8 @@
         pub queue_limit: Option<usize>,
         /// Load bound that overrides the fleet's, if configured.
         pub load_bound: Option<LoadBound>,
+        /// Limit of its cold targets, if configured.
+        pub cold: Option<ColdLimit>,
     }
 
     /// A workspace whose callers authenticate by key.
@@ -128,6 +140,14 @@
         found.ok().map(|position| &self.services[position])
     }
 
+    /// Limits of cold targets, by service.
+    #[must_use]
+    pub fn cold_limits(&self) -> Vec<(ServiceId, ColdLimit)> {
+        let services = self.services.iter();
+        let limits = services.filter_map(|service| Some((service.name.clone(), service.cold?)));
+        limits.collect()
+    }
+
     /// Longest timeout of the routes to a service whose streams may be resumed; none if there is no
     /// such route.
     #[must_use]
--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use crate::admission::target_limits::{LimitChange, TargetLimit};
+use crate::admission::target_limits::{LimitChange, LimitNotice, TargetLimit};
 use crate::clock::Moment;
 use crate::ids::{ServiceId, TargetId, hash_parts};
 use crate::membership::{Directory, KnownTarget, TargetIncarnation};
@@ -206,30 +206,53 @@
     loads
 }
 
-/// The limits that have changed at this daemon after `since`.
+/// The limits that have changed at this daemon after `since`, and the targets that turned cold.
 fn changed_limits(now: Moment, since: Moment, directory: &Directory) -> Vec<TargetLimit> {
     let changed = directory.targets().iter().filter_map(|target| {
         let notice = target.limit.changed_since(since)?;
         Some(TargetLimit::told(now, target.hash, &notice))
     });
     let mut limits: Vec<TargetLimit> = changed.collect();
+    let targets = directory.targets().iter();
+    limits.extend(targets.filter_map(|target| TargetLimit::of_cold(now, target, since)));
     limits.sort_by_key(|limit| limit.age);
     limits.truncate(MAX_LIMITS);
     limits
 }
 
+/// Merges what another daemon told of cold targets. Returns those that were not known to be cold, or
+/// not for so long, and for how long they stay cold.
+pub fn merge_cold_targets(
+    now: Moment,
+    limits: &[TargetLimit],
+    directory: &mut Directory,
+) -> Vec<(TargetId, Duration)> {
+    let mut changes = Vec::new();
+    for limit in limits.iter().filter(|limit| !limit.cold_left.is_zero()) {
+        let told_at = limit.cold_told_at(now);
+        directory.for_each_warmth(limit.target, |warmth, id| {
+            if warmth.record(now, told_at, limit.cold_left) {
+                changes.push((id.clone(), limit.cold_left));
+            }
+        });
+    }
+    changes
+}
+
 /// Merges limits that another daemon told. Returns what has changed here.
 pub fn merge_limits(
     now: Moment,
     limits: &[TargetLimit],
     directory: &mut Directory,
 ) -> Vec<(TargetId, LimitChange)> {
-    let mut sorted: Vec<&TargetLimit> = limits.iter().collect();
-    sorted.sort_by_key(|limit| limit.target);
+    let notices = limits.iter();
+    let notices = notices.filter_map(|limit| Some((limit.target, limit.limit_notice(now)?)));
+    let mut sorted: Vec<(TargetHash, LimitNotice)> = notices.collect();
+    sorted.sort_by_key(|(target, _)| *target);
     let mut changes = Vec::new();
     directory.for_each_limit(|target, view, id| {
-        if let Ok(position) = sorted.binary_search_by_key(&target, |limit| limit.target)
-            && let Some(change) = view.record(now, sorted[position].notice(now))
+        if let Ok(position) = sorted.binary_search_by_key(&target, |(known, _)| *known)
+            && let Some(change) = view.record(now, sorted[position].1)
         {
             changes.push((id.clone(), change));
         }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod fleet_sample;
 pub mod home_regions;
+mod homecoming;
 pub mod idle_connection_limit;
 pub mod load;
 pub mod popularity;
@@ -17,7 +18,7 @@
     AffinityPreference, Choice, Chooser, LoadBound, NoTarget, PromptPart, Reason, TargetQuery,
     shared_prompt_parts,
 };
-pub use config::{CallerLimits, RoutingConfig, Service, Workspace};
+pub use config::{CallerLimits, ColdLimit, RoutingConfig, Service, Workspace};
 pub use fleet_sample::{FleetSample, Observations, TargetLoad};
 pub use home_regions::{Homes, Regions};
 pub use idle_connection_limit::idle_connection_limit;
--- a/crates/core/src/routing/profile_route.rs
+++ b/crates/core/src/routing/profile_route.rs
@@ -62,6 +62,7 @@
             percent: percent(pool.load_multiple),
             extra: LOAD_EXTRA,
         }),
+        cold: None,
     }
 }
 
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -125,6 +125,8 @@
     pub directory: Directory,
     /// This daemon's part of the permits for targets with a limit.
     pub allocators: Allocators,
+    /// This daemon's part of the permits for cold targets.
+    pub cold_allocators: Allocators,
     /// Services whose targets take fewer requests than they get.
     pub overloads: Overloads,
     /// Times at which callers return that were refused for limits.
@@ -202,6 +204,7 @@
             suspects: Suspects::new(incarnation),
             directory: Directory::default(),
             allocators: Allocators::default(),
+            cold_allocators: Allocators::default(),
             overloads: Overloads::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
@@ -540,6 +543,61 @@
         }
     }
 
+    /// Records how long a target stays cold by its answer to a request sent at `sent_at`; zero if it
+    /// is warm.
+    pub fn target_said_cold(self: &Rc<Self>, target: TargetKey, sent_at: Moment, left: Duration) {
+        let now = self.now();
+        let is_news = {
+            let mut state = self.state.borrow_mut();
+            let Some(known) = state.directory.get_mut(target) else {
+                return;
+            };
+            if left.is_zero() {
+                known.warmth.record_warm(now, sent_at);
+                false
+            } else {
+                known.warmth.record(now, now, left) && known.cold_limit.is_some()
+            }
+        };
+        if is_news {
+            self.tell_limit(target);
+        }
+    }
+
+    /// Records that no connection to a target could be opened, so that it may start again unseen.
+    pub fn target_may_restart(&self, target: TargetKey) {
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.warmth.record_unreachable();
+        }
+    }
+
+    /// Records that a target answered for itself.
+    pub fn target_contacted(&self, target: TargetKey) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target)
+            && let Some(limit) = known.cold_limit
+        {
+            known.warmth.record_contact(now, limit.start);
+        }
+    }
+
+    /// Logs and counts the targets that have turned cold or warm.
+    pub(crate) fn report_warmth(&self) {
+        let now = self.now();
+        let (changes, cold_targets) = self.state.borrow_mut().directory.warmth_changes(now);
+        for (target, cold) in &changes {
+            match cold {
+                Some((left, source)) => {
+                    log::info!(target:%, left_ms = millis(*left), source:?; "target_cold");
+                }
+                None => log::info!(target:%; "target_warm"),
+            }
+        }
+        if !changes.is_empty() {
+            self.metrics.cold_targets.record(cold_targets as u64, &[]);
+        }
+    }
+
     /// Address of an incarnation of a target, if it is listed.
     #[must_use]
     pub fn address_if_listed(&self, target: &TargetIncarnation) -> Option<SocketAddr> {
--- a/crates/edge/src/crash_watch.rs
+++ b/crates/edge/src/crash_watch.rs
@@ -51,6 +51,7 @@
         }
         Err(error) if error.is_refused() => {
             edge.target_unreachable(target, error.name());
+            edge.target_may_restart(target);
             if let Some(incarnation) = edge.incarnation_of(target) {
                 edge.target_crashed(&incarnation);
             }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -88,6 +88,8 @@
     pub pause: Option<PauseRequest>,
     /// Requests that the target takes from all daemons together, if it names a limit.
     pub limit: Option<NamedLimit>,
+    /// Time for which the target stays cold, if it says so; zero if it is warm.
+    pub cold_left: Option<Duration>,
 }
 
 /// Limit that a target names.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -28,6 +28,8 @@
     permits: Counter<u64>,
     target_limit: Gauge<f64>,
     target_share: Gauge<f64>,
+    /// Targets that take fewer requests because they are cold.
+    pub cold_targets: Gauge<u64>,
     /// Connections opened to targets since the start.
     pub connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
@@ -100,6 +102,10 @@
                 .f64_gauge("lapismoor.target.share")
                 .with_description("Requests per second that this daemon was permitted to a target when it last had no room")
                 .build(),
+            cold_targets: meter
+                .u64_gauge("lapismoor.target.cold")
+                .with_description("Targets that take fewer requests because they are cold")
+                .build(),
             connections_opened: counter(
                 "lapismoor.target.connections",
                 "Connections opened to targets",
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -7,12 +7,12 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::target_limits::{
     PermitAnswer, PermitRequest, PermitResult, TargetLimit, asks_per_permit, is_allocator,
-    permit_sources,
+    is_cold_allocator, permit_sources,
 };
 use lapismoor_core::admission::{LimitChange, PermitDecision, Priority, Rates, RequestRate};
 use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
-use lapismoor_core::membership::{DaemonRecord, is_small_fleet};
-use lapismoor_core::routing::fleet_sample::{TargetHash, merge_limits};
+use lapismoor_core::membership::{Coldness, DaemonRecord, is_small_fleet};
+use lapismoor_core::routing::fleet_sample::{TargetHash, merge_cold_targets, merge_limits};
 
 use crate::context::{Edge, State};
 use crate::millis::millis;
@@ -22,7 +22,7 @@
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Source of a limit that a daemon told without its name.
-pub(crate) const OTHER_DAEMON: &str = "daemon";
+const OTHER_DAEMON: &str = "daemon";
 
 /// A target's limit, for logs.
 #[derive(Debug, Clone)]
@@ -32,8 +32,10 @@
     pub limit_per_s: f64,
     /// Requests per second that this daemon was permitted lately.
     pub share_per_s: f64,
-    /// Time since the answer that named the limit.
-    pub age: Duration,
+    /// Time since the answer that named the limit; `None` if the target is only cold.
+    pub age: Option<Duration>,
+    /// How it is known that the target is cold; `None` if it is warm.
+    pub coldness: Option<Coldness>,
 }
 
 impl Edge {
@@ -79,14 +81,17 @@
         false
     }
 
-    /// The daemons to ask for a permit, `None` for this one; `None` if the target has no limit.
+    /// The daemons to ask for a permit, `None` for this one; `None` if the target needs no
+    /// permit.
     fn permit_sources_of(
         &self,
         target: TargetKey,
     ) -> Option<(TargetHash, Vec<Option<DaemonRecord>>)> {
         let state = self.state.borrow();
         let known = state.directory.get(target)?;
-        known.limit.rate()?;
+        if !known.needs_permit(self.now()) {
+            return None;
+        }
         let own = &self.settings.daemon;
         let sources = permit_sources(known.hash, &state.daemons, own);
         if sources.is_empty() {
@@ -97,16 +102,22 @@
         Some((known.hash, others.collect()))
     }
 
-    /// The request for a permit; `None` if the target has no limit any more.
+    /// The request for a permit; `None` if the target needs none any more.
     fn permit_request(&self, target: TargetKey, priority: &Priority) -> Option<PermitRequest> {
         let state = self.state.borrow();
-        let known = state.directory.get(target)?;
-        let notice = known
-            .limit
-            .notice()
-            .filter(|notice| notice.rate.is_some())?;
+        let now = self.now();
+        let known = state
+            .directory
+            .get(target)
+            .filter(|one| one.needs_permit(now))?;
+        let limit = TargetLimit::of(now, known);
+        let limit = limit
+            .unwrap_or_else(|| TargetLimit::told_cold(known.hash, Duration::ZERO, Duration::ZERO));
         Some(PermitRequest {
-            limit: TargetLimit::told(self.now(), known.hash, &notice),
+            limit: TargetLimit {
+                cold_left: known.cold_left(now),
+                ..limit
+            },
             priority: priority.clone(),
         })
     }
@@ -130,6 +141,9 @@
         let reason = match tokio::time::timeout(PERMIT_TIMEOUT, call).await {
             Ok(Ok(answer)) => {
                 self.merge_limits(&[answer.limit], &daemon.id);
+                if answer.result != PermitResult::NotAllocator {
+                    self.merge_cold_targets(&[answer.limit], &daemon.id);
+                }
                 return answer.result;
             }
             Ok(Err(error)) => error.to_string(),
@@ -156,19 +170,34 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        let (own, daemons) = (&self.settings.daemon, &state.daemons);
         let known = state.directory.find_by_hash(target);
-        let notice = known.and_then(|known| known.limit.notice());
-        let notice = notice.unwrap_or_else(|| request.limit.notice(now));
-        let limit = TargetLimit::told(now, target, &notice);
-        let result = match notice.rate {
-            None => PermitResult::Unlimited,
-            Some(_) if !is_allocator(target, &state.daemons, &self.settings.daemon) => {
-                PermitResult::NotAllocator
+        let limit = known.and_then(|known| TargetLimit::of(now, known));
+        let limit = limit.unwrap_or(request.limit);
+        let is_cold = !request.limit.cold_left.is_zero()
+            || known.is_some_and(|known| known.cold_rate(now).is_some());
+        let priority = &request.priority;
+        if is_cold {
+            let cold_limit = known.and_then(|known| known.cold_limit);
+            let cold_limit = cold_limit.filter(|_| is_cold_allocator(target, daemons, own));
+            let Some(cold_limit) = cold_limit else {
+                let result = PermitResult::NotAllocator;
+                return PermitAnswer { result, limit };
+            };
+            let rates = Rates::part_of_cold(cold_limit.rate, daemons);
+            let decision = state.cold_allocators.take(now, target, rates, priority);
+            if let PermitDecision::Denied { wait } = decision {
+                let result = PermitResult::Denied { wait };
+                return PermitAnswer { result, limit };
             }
+        }
+        let result = match limit.rate {
+            None if is_cold => PermitResult::Granted,
+            None => PermitResult::Unlimited,
+            Some(_) if !is_allocator(target, daemons, own) => PermitResult::NotAllocator,
             Some(rate) => {
-                let rates = Rates::part_of(rate, &state.daemons);
-                let allocators = &mut state.allocators;
-                match allocators.take(now, target, rates, &request.priority) {
+                let rates = Rates::part_of(rate, daemons);
+                match state.allocators.take(now, target, rates, priority) {
                     PermitDecision::Granted => PermitResult::Granted,
                     PermitDecision::Denied { wait } => PermitResult::Denied { wait },
                 }
@@ -177,6 +206,21 @@
         PermitAnswer { result, limit }
     }
 
+    /// Merges what another daemon told of cold targets.
+    pub(crate) fn merge_cold_targets(&self, limits: &[TargetLimit], source: &str) {
+        let now = self.now();
+        let changes = merge_cold_targets(now, limits, &mut self.state.borrow_mut().directory);
+        for (target, left) in changes {
+            log::info!(target:%, left_ms = millis(left), source; "target_told_cold");
+        }
+    }
+
+    /// Merges limits and cold targets that another daemon told without being asked for a permit.
+    pub(crate) fn merge_told_limits(&self, limits: &[TargetLimit]) {
+        self.merge_limits(limits, OTHER_DAEMON);
+        self.merge_cold_targets(limits, OTHER_DAEMON);
+    }
+
     /// Merges limits that another daemon told.
     pub(crate) fn merge_limits(&self, limits: &[TargetLimit], source: &str) {
         let now = self.now();
@@ -186,42 +230,42 @@
         }
     }
 
-    /// Tells other daemons that a target has begun or ceased to name a limit: all of a small fleet,
+    /// Tells other daemons that a target has begun or ceased to name a limit, or turned cold: all of a small fleet,
     /// and of a large one those that hand out its permits. The others learn it with the next
     /// exchange of observations.
     pub(crate) fn tell_limit(self: &Rc<Self>, target: TargetKey) {
         let now = self.now();
-        let (limit, daemons) = {
+        let (limits, daemons) = {
             let state = self.state.borrow();
             let Some(known) = state.directory.get(target) else {
                 return;
             };
-            let Some(notice) = known.limit.notice() else {
-                return;
-            };
-            let limit = TargetLimit::told(now, known.hash, &notice);
+            let notice = known.limit.notice();
+            let limit = notice.map(|notice| TargetLimit::told(now, known.hash, &notice));
+            let cold = TargetLimit::of_cold(now, known, Moment::ZERO);
+            let limits: Vec<TargetLimit> = limit.into_iter().chain(cold).collect();
             let daemons: Vec<DaemonRecord> = if is_small_fleet(&state.daemons) {
                 state.daemons.clone()
             } else {
                 let sources = permit_sources(known.hash, &state.daemons, &self.settings.daemon);
                 sources.into_iter().cloned().collect()
             };
-            (limit, daemons)
+            (limits, daemons)
         };
         let others = daemons.into_iter();
         for daemon in others.filter(|daemon| daemon.id != self.settings.daemon) {
-            let edge = Rc::clone(self);
-            rt::spawn(async move { edge.tell_limit_to(&daemon, limit).await });
+            let (edge, limits) = (Rc::clone(self), limits.clone());
+            rt::spawn(async move { edge.tell_limits_to(&daemon, &limits).await });
         }
     }
 
-    async fn tell_limit_to(&self, daemon: &DaemonRecord, limit: TargetLimit) {
+    async fn tell_limits_to(&self, daemon: &DaemonRecord, limits: &[TargetLimit]) {
         if self.peers.is_backed_off(self.now(), daemon) {
             return;
         }
         let call = async {
             let connection = self.peer_connection(daemon).await?;
-            connection.tell_limits(&[limit]).await
+            connection.tell_limits(limits).await
         };
         match tokio::time::timeout(PERMIT_TIMEOUT, call).await {
             Ok(Ok(())) => {}
@@ -232,17 +276,31 @@
         }
     }
 
+    /// Whether a target names a limit.
+    pub(crate) fn names_limit(&self, target: TargetKey) -> bool {
+        let state = self.state.borrow();
+        let known = state.directory.get(target);
+        known.is_some_and(|known| known.limit.rate().is_some())
+    }
+
     /// The limit of a target, for logs.
     pub(crate) fn limit_report(&self, target: TargetKey) -> Option<LimitReport> {
         let now = self.now();
         let state = self.state.borrow();
         let known = state.directory.get(target)?;
-        let notice = known.limit.notice()?;
+        let notice = known.limit.notice().filter(|notice| notice.rate.is_some());
+        let cold = known.cold_rate(now);
+        let named_per_s = notice
+            .and_then(|notice| notice.rate)
+            .map(RequestRate::per_s);
+        let cold_per_s = cold.map(|(rate, _)| rate.per_s());
+        let limits = named_per_s.into_iter().chain(cold_per_s);
         Some(LimitReport {
             target: known.entry.id.clone(),
-            limit_per_s: notice.rate?.per_s(),
+            limit_per_s: limits.reduce(f64::min)?,
             share_per_s: known.limit.share_per_s(now),
-            age: notice.age(now),
+            age: notice.map(|notice| notice.age(now)),
+            coldness: cold.map(|(_, coldness)| coldness),
         })
     }
 
@@ -263,6 +321,8 @@
         let daemons = &self.daemons;
         self.allocators
             .retain(now, |target| is_allocator(target, daemons, own));
+        self.cold_allocators
+            .retain(now, |target| is_cold_allocator(target, daemons, own));
     }
 }
 
@@ -297,7 +357,8 @@
             target:% = self.target,
             limit_per_s = self.limit_per_s,
             share_per_s = self.share_per_s,
-            limit_age_ms = millis(self.age),
+            limit_age_ms = self.age.map(millis),
+            cold:? = self.coldness,
             room_in_ms = room_in.map(millis),
             next;
             "limit_reached"
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -156,6 +156,7 @@
         Ok(connected) => connected,
         Err(error) => {
             edge.target_unreachable(choice.target, error.name());
+            edge.target_may_restart(choice.target);
             if error.is_refused()
                 && let Some(target) = edge.incarnation_of(choice.target)
             {
@@ -222,6 +223,10 @@
         let is_of_target = metadata.is_signed || metadata.is_not_run;
         if is_of_target && head.status != StatusCode::MISDIRECTED_REQUEST {
             edge.target_named_limit(target, sent_at, metadata.limit.as_ref());
+            edge.target_contacted(target);
+            if let Some(left) = metadata.cold_left {
+                edge.target_said_cold(target, sent_at, left);
+            }
         }
         let answer = Answer {
             target,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -179,10 +179,15 @@
     }
 
     /// Why the request is not tried: its home has no room, and that of others is left to more urgent
-    /// requests. `None` if its home needs no permit.
+    /// requests. `None` if its home needs no permit, or is only cold and another target is not.
     pub(crate) fn reason_for_overload(&self) -> Option<NoTarget> {
         let (target, left) = match self.choose(&[], false, ASKS_NO_PERMIT) {
-            Ok(choice) => (choice.limited?, OVERLOAD_WAIT),
+            Ok(choice) => (
+                choice
+                    .limited
+                    .filter(|target| self.edge.names_limit(*target))?,
+                OVERLOAD_WAIT,
+            ),
             Err(NoTarget::Limited { left, target }) => (target, left),
             Err(_) => return None,
         };
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -238,6 +238,7 @@
                 });
             (state.directory.sweep(now), refuted)
         };
+        edge.report_warmth();
         edge.clear_answered();
         for interruption in refuted {
             let target = &interruption.target.id;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -70,6 +70,15 @@
     /// Age of the answer that named the limit, in milliseconds.
     #[serde(default)]
     pub limit_age_ms: Option<u64>,
+    /// Requests per second that the target takes while it is cold; `None` if it is warm.
+    #[serde(default)]
+    pub cold_per_s: Option<f64>,
+    /// Time for which the target stays cold, in milliseconds.
+    #[serde(default)]
+    pub cold_left_ms: Option<u64>,
+    /// How it is known that the target is cold: `Told` by itself, or `Presumed` by this daemon.
+    #[serde(default)]
+    pub coldness: Option<CompactString>,
 }
 
 impl TargetStatus {
@@ -108,6 +117,7 @@
 fn target_status(target: &KnownTarget, now: Moment) -> TargetStatus {
     let rate = target.limit.rate();
     let notice = target.limit.notice().filter(|_| rate.is_some());
+    let cold = target.cold_rate(now);
     TargetStatus {
         id: target.entry.id.clone(),
         service: target.entry.service.clone(),
@@ -118,7 +128,12 @@
         load_age_ms: target.load.report_age(now).map(millis),
         heard_ms_ago: millis(now.saturating_sub(target.last_received_at)),
         limit_per_s: rate.map(RequestRate::per_s),
-        share_per_s: rate.map(|_| target.limit.share_per_s(now)),
+        share_per_s: target
+            .needs_permit(now)
+            .then(|| target.limit.share_per_s(now)),
         limit_age_ms: notice.map(|notice| millis(notice.age(now))),
+        cold_per_s: cold.map(|(rate, _)| rate.per_s()),
+        cold_left_ms: cold.map(|_| millis(target.cold_left(now))),
+        coldness: cold.map(|(_, coldness)| compact_str::format_compact!("{coldness:?}")),
     }
 }
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -77,9 +77,11 @@
 fn apply_config(edge: &Edge, config: RoutingConfig) {
     let version = config.version();
     let (routes, services, keys) = config.sizes();
+    let cold_limits = config.cold_limits();
     let mut state = edge.state.borrow_mut();
     match state.config.offer(version, Rc::new(config)) {
         Offered::NowInForce { before } => {
+            state.directory.set_cold_limits(cold_limits);
             log::info!(version, version_before = before, routes, services, keys; "configuration_in_force");
         }
         Offered::Older { kept } => log_older_ignored(version, kept),
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -16,7 +16,6 @@
 use super::suspects::hand_over;
 use super::update::StoreUpdate;
 use crate::context::Edge;
-use crate::permits::OTHER_DAEMON;
 
 /// Returns the handlers for list and watch requests of other daemons.
 pub(crate) fn mirror_source(edge: &Rc<Edge>) -> MirrorSource {
@@ -42,7 +41,7 @@
             take_exchange(&for_exchange, &observations, since)
         }),
         take_permit: Rc::new(move |request| for_permits.answer_permit(&request)),
-        tell_limits: Rc::new(move |limits| for_limits.merge_limits(&limits, OTHER_DAEMON)),
+        tell_limits: Rc::new(move |limits| for_limits.merge_told_limits(&limits)),
         tell_streams: Rc::new(move |streams, are_relayed| {
             let source = if are_relayed {
                 OriginSource::Relayed
--- a/crates/edge/src/store/observations.rs
+++ b/crates/edge/src/store/observations.rs
@@ -17,7 +17,6 @@
 use lapismoor_mirror::{MirrorClient, MirrorError};
 
 use crate::context::{Edge, State};
-use crate::permits::OTHER_DAEMON;
 
 /// Time by which the sample of a call overlaps the one before, so that variations of the time that
 /// calls take leave no gap.
@@ -84,7 +83,7 @@
             return false;
         };
         self.succeeded_at = now;
-        edge.merge_limits(&sample.limits, OTHER_DAEMON);
+        edge.merge_told_limits(&sample.limits);
         // Ages count from the time of the call, so that loads never seem fresher than they are.
         let mut state = edge.state.borrow_mut();
         let state = &mut *state;
@@ -155,7 +154,7 @@
     observations: &Observations,
     since: Duration,
 ) -> FleetSample {
-    edge.merge_limits(&observations.limits, OTHER_DAEMON);
+    edge.merge_told_limits(&observations.limits);
     edge.keep_origins(&observations.streams, OriginSource::Relayed);
     let now = edge.now();
     let mut state = edge.state.borrow_mut();
--- a/crates/soak/src/compare/distributed.rs
+++ b/crates/soak/src/compare/distributed.rs
@@ -101,6 +101,7 @@
             requests_per_target: None,
             queue_limit: None,
             load_bound: None,
+            cold: None,
         });
         let daemon = |index: usize| {
             let domains = &deployment.failure_domains;
