Keep requests away from evacuated failure domains, and inside home regions

Cause: an evacuation in the store, and the home regions of routes and workspaces, were read nowhere.

Change: the directory knows which failure domains are evacuated. An attempt is checked once more right before it is sent. Candidates, offers and fetches keep to the home regions, and so does a body that is forwarded to the owner of its ticket. /status, the metrics, the log and lapismoorctl show evacuations. Not tested yet.

--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -20,6 +20,10 @@
         UnknownKey,
         /// The service has no target in use.
         NoTarget,
+        /// No target is in a home region of the request.
+        NoHomeTarget,
+        /// The failure domains of all targets that could get the request are evacuated.
+        Evacuated,
         /// No target has the software version at which the stream began.
         StreamVersionGone,
         /// Targets have different software versions, and at which one the stream began is not known.
@@ -76,6 +80,8 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::NoTarget => "no_target",
+            Self::NoHomeTarget => "no_home_target",
+            Self::Evacuated => "evacuated",
             Self::StreamVersionGone => "stream_version_gone",
             Self::StreamOriginUnknown { .. } => "stream_origin_unknown",
             Self::Unreachable => "unreachable",
@@ -115,7 +121,9 @@
             Self::CrashesTargets { banned_for } => Some(*banned_for),
             Self::Stopping => Some(Duration::ZERO),
             Self::Busy | Self::Unreachable | Self::StaleConfiguration => Some(SHORT_RETRY_AFTER),
-            Self::NoConfiguration | Self::NoTarget => Some(LONG_RETRY_AFTER),
+            Self::NoConfiguration | Self::NoTarget | Self::NoHomeTarget | Self::Evacuated => {
+                Some(LONG_RETRY_AFTER)
+            }
         }
     }
 }
--- a/crates/core/src/config/profile.rs
+++ b/crates/core/src/config/profile.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 
-use crate::ids::{PoolId, ProfileId};
+use crate::ids::{PoolId, ProfileId, Region};
 use crate::request::Class;
 
 document! {
@@ -31,6 +31,9 @@
         /// target.
         #[serde(default)]
         pub replayable: bool,
+        /// Regions in which requests are served; empty if they are served everywhere.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub home_regions: Vec<Region>,
     }
 }
 
--- a/crates/core/src/config/workspace.rs
+++ b/crates/core/src/config/workspace.rs
@@ -1,6 +1,6 @@
 //! Workspaces in the configuration.
 
-use crate::ids::WorkspaceId;
+use crate::ids::{Region, WorkspaceId};
 
 document! {
     /// A workspace and its limits.
@@ -18,6 +18,9 @@
         /// Maximum number of requests in flight at one daemon.
         #[serde(default = "default_concurrent_requests")]
         pub concurrent_requests: usize,
+        /// Regions in which requests are served; empty if they are served everywhere.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub home_regions: Vec<Region>,
     }
 }
 
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -10,9 +10,11 @@
 use crate::clock::Moment;
 use crate::ids::{TargetId, TargetKey, VersionHash, version_hash};
 use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
+use crate::membership::evacuation::Evacuations;
 use crate::retry::{Breaker, Pause};
 use crate::routing::LoadView;
 use crate::routing::fleet_sample::{TargetHash, target_hash};
+use crate::routing::home_regions::{Homes, Regions};
 
 /// Shortest store outage after which the entries of live targets may have expired: one heartbeat
 /// interval of a target.
@@ -89,6 +91,9 @@
     said_leaving: Vec<(TargetIncarnation, SocketAddr, Moment)>,
     /// End of the grace period for entries that expired during an outage of the store.
     relisting_until: Option<Moment>,
+    /// Failure domains whose targets get no requests.
+    pub evacuations: Evacuations,
+    regions: Regions,
 }
 
 /// Maximum number of incarnations whose announced end is remembered; the oldest one is forgotten.
@@ -100,6 +105,51 @@
 const LEAVING_RETENTION: Duration = Duration::from_secs(30);
 
 impl Directory {
+    /// A directory without targets. An evacuation must be complete within `evacuate_within`.
+    #[must_use]
+    pub fn new(regions: Regions, evacuate_within: Duration) -> Self {
+        Self {
+            evacuations: Evacuations::new(evacuate_within),
+            regions,
+            ..Self::default()
+        }
+    }
+
+    /// The regions of the failure domains.
+    #[must_use]
+    pub fn regions(&self) -> &Regions {
+        &self.regions
+    }
+
+    /// Whether a target is in one of the home regions.
+    #[must_use]
+    pub fn is_in_homes(&self, target: &KnownTarget, homes: &Homes<'_>) -> bool {
+        homes.are_everywhere() || homes.allow(self.regions.of(&target.entry.domain))
+    }
+
+    /// Whether the target's failure domain is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, target: &KnownTarget) -> bool {
+        self.evacuations.contains(&target.entry.domain)
+    }
+
+    /// Whether no request may be sent to a target any more because its failure domain is evacuated.
+    #[must_use]
+    pub fn has_been_left(&self, now: Moment, key: TargetKey) -> bool {
+        self.get(key)
+            .is_some_and(|target| self.evacuations.has_left(now, &target.entry.domain))
+    }
+
+    /// Records that the targets of a failure domain may be cold for `left` from now on.
+    pub fn domain_may_be_cold(&mut self, _now: Moment, _domain: &str, _left: Duration) {}
+
+    /// Targets of a service that are not leaving, those of evacuated failure domains included.
+    pub fn listed<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownTarget> {
+        self.targets.iter().filter(move |target| {
+            target.entry.service == service && target.standing != Standing::Leaving
+        })
+    }
+
     /// All known targets, sorted by id.
     #[must_use]
     pub fn targets(&self) -> &[KnownTarget] {
@@ -168,9 +218,8 @@
 
     /// Targets of a service that get new requests.
     pub fn in_use<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownTarget> {
-        self.targets.iter().filter(move |target| {
-            target.entry.service == service && target.standing != Standing::Leaving
-        })
+        self.listed(service)
+            .filter(|target| !self.is_evacuated(target))
     }
 
     /// Targets of a service whose cache can be fetched: those in use, and those that started
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -3,6 +3,7 @@
 pub mod crash_watch;
 pub mod directory;
 pub mod entry;
+pub mod evacuation;
 pub mod freshness;
 pub mod mirror;
 pub mod sources;
@@ -12,6 +13,7 @@
 pub use crash_watch::CrashWatch;
 pub use directory::{Directory, DirectoryChange, KnownTarget, Standing};
 pub use entry::{TargetEntry, TargetIncarnation, TargetState};
+pub use evacuation::{Evacuation, Evacuations, LearnedFrom};
 pub use freshness::Freshness;
 pub use mirror::{Mirror, StoreItem};
 pub use sources::{DaemonRecord, Source, Sources, is_small_fleet, max_source_age, store_readers};
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Moment;
 use crate::membership::{Directory, KnownTarget};
-use crate::routing::choice::{NoTarget, TargetQuery};
+use crate::routing::choice::{NoTarget, TargetQuery, placement_parts};
 
 /// Permits that a request asks for before it goes to a target without a limit, or to none. Each one
 /// takes a call to another daemon.
@@ -75,15 +75,56 @@
         .min_by(|left, right| candidates[*left].load.total_cmp(&candidates[*right].load))
 }
 
-/// The targets that may serve the request in `query`, and the room that each has.
+/// Why there is no candidate.
+pub(super) fn why_none(directory: &Directory, query: &TargetQuery<'_>) -> NoTarget {
+    let mut is_listed = false;
+    let mut is_in_homes = false;
+    for target in directory.listed(query.service) {
+        is_listed = true;
+        if directory.is_in_homes(target, &query.homes) {
+            is_in_homes = true;
+            if query.version.allows(target.version) {
+                return NoTarget::Evacuated;
+            }
+        }
+    }
+    match (is_listed, is_in_homes) {
+        (false, _) => NoTarget::NoneInUse,
+        (true, false) => NoTarget::NoneInHomes,
+        (true, true) => NoTarget::NoneOfVersion,
+    }
+}
+
+/// Whether the target's failure domain is evacuated, and the request is served elsewhere now.
+fn has_moved(
+    now: Moment,
+    directory: &Directory,
+    target: &KnownTarget,
+    query: &TargetQuery<'_>,
+    moves_first: bool,
+) -> bool {
+    if !directory.is_evacuated(target) {
+        return false;
+    }
+    let part = placement_parts(query.parts).last();
+    let order = part.map_or(query.request, |part| part.id);
+    let domain = &target.entry.domain;
+    moves_first || directory.evacuations.has_moved(now, domain, order)
+}
+
+/// The targets that may serve the request in `query`, and the room that each has. A request that
+/// `moves_first` leaves a failure domain as soon as that is evacuated.
 pub(super) fn candidates<'a>(
     now: Moment,
     directory: &'a Directory,
     query: &TargetQuery<'a>,
+    moves_first: bool,
 ) -> Vec<Candidate<'a>> {
-    let targets = directory.in_use(query.service);
+    let targets = directory.listed(query.service);
     let targets: Vec<&KnownTarget> = targets
         .filter(|target| query.version.allows(target.version))
+        .filter(|target| directory.is_in_homes(target, &query.homes))
+        .filter(|target| !has_moved(now, directory, target, query, moves_first))
         .collect();
     let reports = targets
         .iter()
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -13,7 +13,7 @@
 use crate::clock::Moment;
 use crate::ids::{FailureDomain, ServiceId, TargetKey};
 use crate::membership::{Directory, KnownTarget};
-use crate::routing::candidates::{Candidate, candidates, least_loaded, why_unavailable};
+use crate::routing::candidates::{Candidate, candidates, least_loaded, why_none, why_unavailable};
 use crate::routing::home_regions::Homes;
 use crate::routing::popularity::Popularity;
 use crate::routing::rendezvous::{rendezvous_first, rendezvous_order};
@@ -62,8 +62,12 @@
     pub enum NoTarget {
         /// The service has no target in use.
         NoneInUse,
-        /// No target in use has the software version at which the stream began.
+        /// No target is in a home region of the request.
+        NoneInHomes,
+        /// No target has the software version at which the stream began.
         NoneOfVersion,
+        /// The failure domains of all targets that could get the request are evacuated.
+        Evacuated,
         /// All targets in use were already tried or are unreachable.
         NoneReachable,
         /// All targets that could get the request have reached their limits.
@@ -199,14 +203,11 @@
         directory: &Directory,
         query: &TargetQuery<'_>,
     ) -> Result<Choice, NoTarget> {
-        let candidates = candidates(now, directory, query);
+        let has_evacuations = !directory.evacuations.domains().is_empty();
+        let moves_first = has_evacuations && self.is_popular(now, directory, query);
+        let candidates = candidates(now, directory, query, moves_first);
         if candidates.is_empty() {
-            let has_others = directory.in_use(query.service).next().is_some();
-            return Err(if has_others {
-                NoTarget::NoneOfVersion
-            } else {
-                NoTarget::NoneInUse
-            });
+            return Err(why_none(directory, query));
         }
         let bounds = self.bounds(&candidates, query.preference.bound.as_ref());
         let shared_part = placement_parts(query.parts).last();
@@ -257,7 +258,7 @@
         };
         Some(Choice {
             target: candidate.target.key,
-            fetch_from: Self::fetch_source(now, directory, query.service, part, candidate.target),
+            fetch_from: Self::fetch_source(now, directory, query, part, candidate.target),
             reason,
             load: candidate.load,
             bound: bounds.max_load,
@@ -334,19 +335,33 @@
         homes.clamp(1, targets)
     }
 
+    /// Whether the shared part of a request has several homes.
+    #[expect(clippy::cast_precision_loss)]
+    fn is_popular(&mut self, now: Moment, directory: &Directory, query: &TargetQuery<'_>) -> bool {
+        let targets = directory.listed(query.service).count() as f64;
+        let Some(part) = placement_parts(query.parts).last() else {
+            return false;
+        };
+        let share = self.popularity(query.service).share(now, part.id);
+        share * targets > MAX_MEAN_LOADS_PER_HOME
+    }
+
     /// The first home of the part, other than the chosen target, among the targets that are or
     /// recently were in use and have the same software version. Nothing is transferred if its cache
     /// no longer holds the part.
     fn fetch_source(
         now: Moment,
         directory: &Directory,
-        service: &str,
+        query: &TargetQuery<'_>,
         part: &PromptPart,
         chosen: &KnownTarget,
     ) -> Option<TargetKey> {
-        let others = directory.with_cache(now, service);
-        let fits =
-            |other: &&KnownTarget| other.key != chosen.key && other.version == chosen.version;
+        let others = directory.with_cache(now, query.service);
+        let fits = |other: &&KnownTarget| {
+            other.key != chosen.key
+                && other.version == chosen.version
+                && directory.is_in_homes(other, &query.homes)
+        };
         let others: Vec<&KnownTarget> = others.filter(fits).collect();
         let names = others.iter().map(|other| other.entry.id.as_str());
         let first = rendezvous_first(part.id, names)?;
@@ -379,7 +394,7 @@
 }
 
 /// The parts by which a request is placed: the shared ones, or the only one.
-fn placement_parts(parts: &[PromptPart]) -> &[PromptPart] {
+pub(super) fn placement_parts(parts: &[PromptPart]) -> &[PromptPart] {
     match parts {
         [] | [_] => parts,
         _ => shared_prompt_parts(parts),
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -5,7 +5,7 @@
 
 use compact_str::CompactString;
 
-use crate::ids::{ConfigVersion, ServiceId, WorkspaceId};
+use crate::ids::{ConfigVersion, Region, ServiceId, WorkspaceId};
 use crate::routing::LoadBound;
 use crate::routing::route::Route;
 
@@ -32,6 +32,9 @@
         pub name: WorkspaceId,
         /// Rank that overrides the route's, if configured.
         pub rank: Option<u8>,
+        /// Regions in which requests are served; empty if they are served everywhere. Invariant:
+        /// sorted.
+        pub home_regions: Vec<Region>,
     }
 
     /// Limits on the requests of callers.
--- a/crates/core/src/routing/home_regions.rs
+++ b/crates/core/src/routing/home_regions.rs
@@ -49,6 +49,15 @@
         is_home(self.route) && is_home(self.workspace)
     }
 
+    /// Whether a daemon in the domain `own`, to which the caller connected, may send the body of the
+    /// request to a daemon in the domain `other`.
+    #[must_use]
+    pub fn allow_body(&self, regions: &Regions, own: &str, other: &str) -> bool {
+        let region = regions.of(other);
+        let is_own = own == other || (region.is_some() && region == regions.of(own));
+        is_own || self.allow(region)
+    }
+
     /// Whether the request may be served anywhere.
     #[must_use]
     pub fn are_everywhere(&self) -> bool {
--- a/crates/core/src/routing/profile_route.rs
+++ b/crates/core/src/routing/profile_route.rs
@@ -1,7 +1,7 @@
 //! Maps requests that use the operators' profiles to routes, services and prompt parts.
 
 use crate::config::{Config, Pool, PoolKind, Profile};
-use crate::ids::hash_parts;
+use crate::ids::{Region, hash_parts};
 use crate::request::{Request, TokenCount, Work};
 use crate::routing::{
     AffinityPreference, Backend, LoadBound, PromptPart, Route, RouteKind, Service,
@@ -27,6 +27,7 @@
         rank: u8::try_from(request.class.rank()).unwrap_or(u8::MAX),
         is_public: false,
         is_sticky: matches!(request.work, Work::Chat { .. }),
+        home_regions: sorted(&profile.home_regions),
         backends: vec![Backend {
             service: request.pool.clone(),
             weight: 1,
@@ -34,6 +35,14 @@
     }
 }
 
+/// Home regions of a profile or workspace, sorted.
+#[must_use]
+pub fn sorted(home_regions: &[Region]) -> Vec<Region> {
+    let mut sorted = home_regions.to_vec();
+    sorted.sort();
+    sorted
+}
+
 fn kind(request: &Request) -> RouteKind {
     match request.work {
         Work::Chat { .. } => RouteKind::Stream {
--- a/crates/core/src/routing/route.rs
+++ b/crates/core/src/routing/route.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use crate::ids::{ServiceId, hash_parts};
+use crate::ids::{Region, ServiceId, hash_parts};
 use crate::retry::RetryPolicy;
 
 /// Sends allowed in addition to the attempts that may run, for targets that reject a request
@@ -57,6 +57,9 @@
         pub is_public: bool,
         /// Whether requests are routed by the prompt parts that targets have cached.
         pub is_sticky: bool,
+        /// Regions in which requests are served; empty if they are served everywhere. Invariant:
+        /// sorted.
+        pub home_regions: Vec<Region>,
         /// Services that the requests are split over. Invariant: not empty.
         pub backends: Vec<Backend>,
     }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -200,7 +200,7 @@
             workspaces: Workspaces::default(),
             ledger,
             suspects: Suspects::new(incarnation),
-            directory: Directory::default(),
+            directory: Directory::new(settings.regions.clone(), settings.limits.evacuate_within),
             allocators: Allocators::default(),
             overloads: Overloads::default(),
             returns: ReturnSchedule::default(),
@@ -345,6 +345,13 @@
         Some((known.entry.id.clone(), known.entry.address))
     }
 
+    /// Whether no request may be sent to a target any more because its failure domain is evacuated.
+    #[must_use]
+    pub fn has_been_left(&self, target: TargetKey) -> bool {
+        let state = self.state.borrow();
+        state.directory.has_been_left(self.now(), target)
+    }
+
     /// Hash of a target's software version; `None` if the target is not known, or was replaced.
     #[must_use]
     pub fn version_of(&self, target: TargetKey) -> Option<VersionHash> {
--- a/crates/edge/src/history/cause.rs
+++ b/crates/edge/src/history/cause.rs
@@ -19,7 +19,7 @@
 }
 
 /// Name, meaning and remedy of each known cause.
-const CAUSES: [(&str, &str, &str); 38] = [
+const CAUSES: [(&str, &str, &str); 40] = [
     (
         "no_configuration",
         "the daemon had not read a configuration yet",
@@ -45,6 +45,16 @@
         "the service had no usable target",
         "check the entries of its targets in the store",
     ),
+    (
+        "no_home_target",
+        "no target of the service is in a home region of the route and the workspace",
+        "compare the home regions in the configuration with the regions of the targets' failure domains",
+    ),
+    (
+        "evacuated",
+        "the failure domains of all targets that could get the request were evacuated",
+        "look for evacuation_began events; remove the evacuation from the store once the domain may be used again",
+    ),
     (
         "unreachable",
         "every target had been tried or was paused after failures",
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -36,7 +36,7 @@
 pub use logging::{LogQueue, LoggingError, flush_at_exit, start as start_logging};
 pub use settings::{EdgeSettings, FleetLimits, Tuning};
 pub use start::{StartError, run};
-pub use status::{Status, TargetStatus};
+pub use status::{EvacuationStatus, Status, TargetStatus};
 pub use store::{
     Changes, Consistency, RecordLease, StoreCall, StoreClient, StoreError, StoreUpdate,
 };
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -34,6 +34,8 @@
     /// Times that the store was found to be restored from a copy.
     pub store_restores: Counter<u64>,
     retries_left: Gauge<u64>,
+    /// Number of evacuated failure domains.
+    pub evacuated_domains: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -112,6 +114,10 @@
                 "lapismoor.store.restores",
                 "Times that the store was found to be restored from an older copy",
             ),
+            evacuated_domains: meter
+                .u64_gauge("lapismoor.domain.evacuated")
+                .with_description("Failure domains that are evacuated, as far as this daemon knows")
+                .build(),
             retries_left: meter
                 .u64_gauge("lapismoor.retry.left")
                 .with_description("Retries left in the budget window after the last failed attempt")
--- a/crates/edge/src/profiles/admitted_request.rs
+++ b/crates/edge/src/profiles/admitted_request.rs
@@ -63,6 +63,7 @@
         config_version: accepted.revision,
         service: service.name.clone(),
         workspace: Some(workspace.name.clone()),
+        workspace_homes: profile_route::sorted(&workspace.home_regions),
         priority: Priority {
             rank: route.rank,
             workspace: workspace.name.clone(),
--- a/crates/edge/src/profiles/outcome.rs
+++ b/crates/edge/src/profiles/outcome.rs
@@ -50,6 +50,8 @@
             (NotRunProof::RefusedByTargets, FailureKind::NoTarget)
         }
         Refusal::NoTarget
+        | Refusal::NoHomeTarget
+        | Refusal::Evacuated
         | Refusal::Unreachable
         | Refusal::StreamVersionGone
         | Refusal::StreamOriginUnknown { .. } => {
--- a/crates/edge/src/profiles/ticket_owner.rs
+++ b/crates/edge/src/profiles/ticket_owner.rs
@@ -9,6 +9,7 @@
 use lapismoor_core::ids::RequestId;
 use lapismoor_core::membership::DaemonRecord;
 use lapismoor_core::request::Request;
+use lapismoor_core::routing::{Homes, profile_route};
 
 use crate::context::Edge;
 use crate::http::{AnswerBody, Connection, ExchangeError};
@@ -31,6 +32,10 @@
         log::warn!(ticket:% = id; "ticket_owner_unknown");
         return owner_gone();
     };
+    if !may_get_body(edge, &owner, request) {
+        log::warn!(ticket:% = id, peer:% = owner.id, domain:% = owner.domain; "ticket_owner_outside_homes");
+        return CallerAnswer::Fail(Failure::unknown(FailureKind::OwnerGone, None));
+    }
     let forwarding = tokio::time::timeout(
         request.deadline,
         exchange_with_owner(edge, &owner, original),
@@ -58,6 +63,26 @@
     state.daemons.iter().find(is_owner).cloned()
 }
 
+/// Whether the body of a request may be sent to a daemon: within its home regions, and the region of
+/// the daemon to which the caller connected.
+fn may_get_body(edge: &Edge, owner: &DaemonRecord, request: &Request) -> bool {
+    let Some(accepted) = edge.profiles() else {
+        return false;
+    };
+    let config = &accepted.config;
+    let route = config.profile(&request.profile);
+    let workspace = config.workspace(&request.workspace);
+    let route = route.map(|profile| profile_route::sorted(&profile.home_regions));
+    let workspace = workspace.map(|workspace| profile_route::sorted(&workspace.home_regions));
+    let (route, workspace) = (route.unwrap_or_default(), workspace.unwrap_or_default());
+    let homes = Homes {
+        route: &route,
+        workspace: &workspace,
+    };
+    let settings = &edge.settings;
+    homes.allow_body(&settings.regions, &settings.domain, &owner.domain)
+}
+
 async fn exchange_with_owner(
     edge: &Edge,
     owner: &DaemonRecord,
--- a/crates/edge/src/serve/admitted_request.rs
+++ b/crates/edge/src/serve/admitted_request.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::Priority;
-use lapismoor_core::ids::{ConfigVersion, ServiceId, WorkspaceId};
-use lapismoor_core::routing::{AffinityPreference, Route};
+use lapismoor_core::ids::{ConfigVersion, Region, ServiceId, WorkspaceId};
+use lapismoor_core::routing::{AffinityPreference, Homes, Route};
 
 use crate::context::Edge;
 use crate::dialect::Envelope;
@@ -20,6 +20,8 @@
     pub service: ServiceId,
     /// Workspace of the caller; none on public routes.
     pub workspace: Option<WorkspaceId>,
+    /// Home regions of the workspace. Invariant: sorted.
+    pub workspace_homes: Vec<Region>,
     /// Decides the order in the admission queue.
     pub priority: Priority,
     pub preference: AffinityPreference,
@@ -32,6 +34,16 @@
     pub received: Moment,
 }
 
+impl AdmittedRequest {
+    /// Regions in which the request may be served.
+    pub(crate) fn homes(&self) -> Homes<'_> {
+        Homes {
+            route: &self.route.home_regions,
+            workspace: &self.workspace_homes,
+        }
+    }
+}
+
 /// Headers of the caller to forward to targets: end-to-end ones that the dialect doesn't withhold.
 pub(crate) fn forwarded_headers(edge: &Edge, headers: &HeaderMap) -> HeaderMap {
     let mut kept = end_to_end_headers(headers);
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -11,6 +11,7 @@
 use opentelemetry::trace::SpanKind;
 
 use super::job::{InFlight, Job};
+use super::run::EVACUATED;
 use crate::context::Edge;
 use crate::dialect::{AnswerMetadata, AttemptHeaders};
 use crate::http::{AnswerBody, Connection, ExchangeError};
@@ -164,6 +165,10 @@
             return Err(FailedAttempt::new(AttemptEnd::NotSent, error.name()));
         }
     };
+    // The domain may have been evacuated while the request waited for a permit or a connection.
+    if edge.has_been_left(choice.target) {
+        return Err(FailedAttempt::new(AttemptEnd::NotSent, EVACUATED));
+    }
     Ok(PreparedAttempt {
         job,
         choice,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -9,12 +9,12 @@
 use lapismoor_core::admission::suspects::followed_parts;
 use lapismoor_core::admission::{Belief, Priority, Refusal, SuspectKind};
 use lapismoor_core::ids::{Fingerprint, ServiceId, StreamKey, TargetKey, hash_parts, stream_key};
-use lapismoor_core::membership::{KnownTarget, TargetIncarnation};
+use lapismoor_core::membership::{Directory, KnownTarget, TargetIncarnation};
 use lapismoor_core::retry::{
     AttemptCounts, AttemptEnd, MAX_SOUND_SILENCE, NextStep, Obstacle, OverdueRequest, RetryPolicy,
     may_replace,
 };
-use lapismoor_core::routing::{Choice, Homes, NoTarget, TargetQuery};
+use lapismoor_core::routing::{Choice, NoTarget, TargetQuery};
 use lapismoor_core::stream::VersionBinding;
 use opentelemetry::trace::SpanKind;
 
@@ -275,7 +275,7 @@
             may_repeat_target,
             preference: self.request.preference.clone(),
             priority: &self.permit_priority,
-            homes: Homes::default(),
+            homes: self.request.homes(),
             permits_denied,
         };
         let mut state = self.edge.state.borrow_mut();
@@ -283,7 +283,13 @@
         state.chooser.choose(now, &state.directory, &query)
     }
 
-    /// Whether targets in use have the software version at which the stream may go on.
+    /// Whether a target has the version and is in the regions that bind the request.
+    fn suits(&self, directory: &Directory, target: &KnownTarget) -> bool {
+        let is_in_homes = directory.is_in_homes(target, &self.request.homes());
+        is_in_homes && self.version.get().allows(target.version)
+    }
+
+    /// Whether listed targets have the software version at which the stream may go on.
     pub(crate) fn serves_version(&self) -> bool {
         match self.version.get() {
             VersionBinding::Free => true,
@@ -297,18 +303,33 @@
     /// Whether a target may get the stream, now or once it returns. Where targets of other versions
     /// serve, only untried ones of its own version are waited for.
     fn can_go_on(&self) -> bool {
-        let version = self.version.get();
         let tried = self.tried.borrow();
         let may_repeat = self.may_repeat_target.get();
         let state = self.edge.state.borrow();
-        let (own, others): (Vec<_>, Vec<_>) = state
-            .directory
-            .in_use(&self.request.service)
-            .partition(|target| version.allows(target.version));
-        let is_untried = |target: &&KnownTarget| may_repeat || !tried.contains(&target.key);
+        let directory = &state.directory;
+        let (own, others): (Vec<_>, Vec<_>) = directory
+            .listed(&self.request.service)
+            .partition(|target| self.suits(directory, target));
+        if are_evacuated(directory, &own) {
+            return false;
+        }
+        let is_untried = |target: &&KnownTarget| {
+            !directory.is_evacuated(target) && (may_repeat || !tried.contains(&target.key))
+        };
         others.is_empty() || own.iter().any(is_untried)
     }
 
+    /// Whether the failure domains of all targets that may serve the request are evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        let state = self.edge.state.borrow();
+        let directory = &state.directory;
+        let listed = directory.listed(&self.request.service);
+        let own: Vec<_> = listed
+            .filter(|target| self.suits(directory, target))
+            .collect();
+        are_evacuated(directory, &own)
+    }
+
     /// Waits until a target can be chosen, for as long as sound targets may be silent. Returns
     /// whether there is one.
     pub(crate) async fn wait_for_target(&self) -> bool {
@@ -328,11 +349,10 @@
         let state = self.edge.state.borrow();
         let tried = self.tried.borrow();
         let may_repeat = self.may_repeat_target.get();
-        let version = self.version.get();
         let mut targets = state.directory.in_use(&self.request.service);
         targets.any(|target| {
             let is_untried = may_repeat || !tried.contains(&target.key);
-            target.is_available(now) && is_untried && version.allows(target.version)
+            target.is_available(now) && is_untried && self.suits(&state.directory, target)
         })
     }
 
@@ -363,11 +383,12 @@
             let has_request = in_flight.iter().any(|attempt| attempt.target == *key);
             has_request || tried.contains(key) || declined.contains(key)
         };
-        let version = self.version.get();
+        let directory = &state.directory;
         let mut unsuitable = Vec::new();
         let mut has_suitable = false;
-        for target in state.directory.in_use(&self.request.service) {
-            let is_suitable = version.allows(target.version)
+        for target in directory.listed(&self.request.service) {
+            let is_suitable = self.suits(directory, target)
+                && !directory.is_evacuated(target)
                 && target.is_available(now)
                 && may_replace(now, silent_since, target.last_received_at)
                 && !is_known(&target.key);
@@ -506,6 +527,11 @@
     }
 }
 
+fn are_evacuated(directory: &Directory, targets: &[&KnownTarget]) -> bool {
+    let mut targets = targets.iter();
+    targets.len() > 0 && targets.all(|target| directory.is_evacuated(target))
+}
+
 fn fingerprint(request: &AdmittedRequest) -> Fingerprint {
     hash_parts(&[
         request.priority.workspace.as_bytes(),
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -60,11 +60,17 @@
         Ok(body) => body,
         Err(error) => return responses::bad_body(&edge, &envelope.id, &error),
     };
+    let priority = priority(&authorized);
+    let (workspace, workspace_homes) = match authorized.workspace {
+        Some(workspace) => (Some(workspace.name), workspace.home_regions),
+        None => (None, Vec::new()),
+    };
     let admitted_request = AdmittedRequest {
         config_version: authorized.config.version(),
         service: service(&authorized.route, &envelope),
-        priority: priority(&authorized),
-        workspace: authorized.workspace.map(|workspace| workspace.name),
+        priority,
+        workspace,
+        workspace_homes,
         route: authorized.route,
         preference: AffinityPreference::default(),
         method: request.method().clone(),
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -30,6 +30,10 @@
 /// Cause of a stream that cannot go on because no target has the software version that began it.
 pub(crate) const VERSION_GONE: &str = "stream_version_gone";
 
+/// Cause of an attempt that was not sent, or of a request that is not sent again, because the failure
+/// domain of the target, or of all of them, is evacuated.
+pub(crate) const EVACUATED: &str = "evacuated";
+
 /// How a request ended.
 pub(crate) enum Outcome {
     /// An answer of a target that was read completely.
@@ -150,12 +154,15 @@
         let cause = match reason {
             NoTarget::Limited { .. } => LIMIT_REACHED,
             NoTarget::NoneOfVersion => VERSION_GONE,
+            NoTarget::Evacuated => EVACUATED,
             _ => "no_target",
         };
         return give_up(job, &NextStep::PassOn, cause, last_failure);
     }
     let refusal = match reason {
         NoTarget::NoneInUse => Refusal::NoTarget,
+        NoTarget::NoneInHomes => Refusal::NoHomeTarget,
+        NoTarget::Evacuated => Refusal::Evacuated,
         NoTarget::NoneOfVersion => Refusal::StreamVersionGone,
         NoTarget::NoneReachable => Refusal::Unreachable,
         NoTarget::Limited { left, .. } => Refusal::TargetsLimited {
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -13,7 +13,7 @@
 use super::attempt::{Answer, FailedAttempt};
 use super::job::Job;
 use super::report;
-use super::run::{CRASHES_TARGETS, VERSION_GONE};
+use super::run::{CRASHES_TARGETS, EVACUATED, VERSION_GONE};
 use super::takeover::{self, CHECK_INTERVAL, Offer, Overdue};
 use crate::store::share_now;
 
@@ -234,10 +234,12 @@
 
     /// Why a stream that no target can resume ends.
     fn cause_of_end(&self, failed: &FailedAttempt) -> &'static str {
-        if self.job.serves_version() {
-            failed.cause
-        } else {
+        if !self.job.serves_version() {
             VERSION_GONE
+        } else if self.job.is_evacuated() {
+            EVACUATED
+        } else {
+            failed.cause
         }
     }
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -8,7 +8,7 @@
 use lapismoor_core::ids::{DaemonId, FailureDomain};
 use lapismoor_core::once::OnceSettings;
 use lapismoor_core::retry::RetryBudgetSettings;
-use lapismoor_core::routing::LoadBound;
+use lapismoor_core::routing::{LoadBound, Regions};
 use serde::{Deserialize, Serialize};
 
 /// Complete settings of a daemon.
@@ -18,6 +18,8 @@
     pub daemon: DaemonId,
     /// Failure domain of the daemon's VM.
     pub domain: FailureDomain,
+    /// Regions of the failure domains.
+    pub regions: Regions,
     /// Address that callers connect to.
     pub caller_address: SocketAddr,
     /// Separate address for the readiness check of the load balancer, if there is one.
@@ -51,6 +53,8 @@
     pub drain_within: Duration,
     /// Time after the end of a target before which no other one has its address.
     pub reuse_after: Duration,
+    /// Time within which no request reaches the targets of an evacuated failure domain any more.
+    pub evacuate_within: Duration,
     /// Maximum load of a target.
     pub load_bound: LoadBound,
     /// Retry budget of each service.
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -28,7 +28,7 @@
 use crate::status::Status;
 use crate::store::{
     StoreClient, announce, exchange_between_collectors, exchange_observations, follow,
-    mark_versions, mirror_source, record_streams, share_suspects,
+    mark_versions, mirror_source, record_streams, share_suspects, sweep_evacuations,
 };
 use crate::streams::share_streams;
 
@@ -238,6 +238,7 @@
                 });
             (state.directory.sweep(now), refuted)
         };
+        sweep_evacuations(&edge, now);
         edge.clear_answered();
         for interruption in refuted {
             let target = &interruption.target.id;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -3,8 +3,8 @@
 use compact_str::CompactString;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::RequestRate;
-use lapismoor_core::ids::{DaemonId, ServiceId, TargetId};
-use lapismoor_core::membership::KnownTarget;
+use lapismoor_core::ids::{DaemonId, FailureDomain, ServiceId, TargetId};
+use lapismoor_core::membership::{Directory, KnownTarget};
 use serde::{Deserialize, Serialize};
 
 use crate::context::Edge;
@@ -38,10 +38,24 @@
     pub in_flight: usize,
     /// Estimated share of the fleet's traffic, from 0 to 1.
     pub traffic_share: f64,
+    /// Evacuated failure domains, sorted.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationStatus>,
     /// Targets, sorted by id.
     pub targets: Vec<TargetStatus>,
 }
 
+/// An evacuated failure domain as seen by one daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// The domain.
+    pub domain: FailureDomain,
+    /// Time since the daemon learned of the evacuation, in milliseconds.
+    pub since_ms_ago: u64,
+    /// Whether all requests have moved to other domains.
+    pub is_complete: bool,
+}
+
 /// Status of a target as seen by one daemon.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetStatus {
@@ -100,11 +114,23 @@
             store_era: state.mirror.revision().unwrap_or_default().era,
             in_flight: edge.in_flight.count(),
             traffic_share: state.traffic_share.get(),
+            evacuations: evacuations(&state.directory, now),
             targets: targets.map(|target| target_status(target, now)).collect(),
         }
     }
 }
 
+fn evacuations(directory: &Directory, now: Moment) -> Vec<EvacuationStatus> {
+    let known = &directory.evacuations;
+    let domains = known.domains().iter();
+    let domains = domains.map(|evacuation| EvacuationStatus {
+        domain: evacuation.domain.clone(),
+        since_ms_ago: millis(now.saturating_sub(evacuation.since)),
+        is_complete: known.has_left(now, &evacuation.domain),
+    });
+    domains.collect()
+}
+
 fn target_status(target: &KnownTarget, now: Moment) -> TargetStatus {
     let rate = target.limit.rate();
     let notice = target.limit.notice().filter(|_| rate.is_some());
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -61,6 +61,8 @@
             state.daemons.retain(|daemon| daemon.id != id);
             state.update_allocators(now, &edge.settings.daemon);
         }
+        // The follower applies them, as it knows what the copy of the store said before.
+        StoreUpdate::Evacuated { .. } | StoreUpdate::EvacuationEnded { .. } => {}
         StoreUpdate::TargetGone { id } => {
             let mut state = edge.state.borrow_mut();
             let Some(target) = state.directory.remove(now, &id) else {
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -6,10 +6,13 @@
 
 use lapismoor_core::Moment;
 use lapismoor_core::ids::{DaemonId, StoreRevision};
-use lapismoor_core::membership::{ServiceVersion, Source, Sources, StoreItem, max_source_age};
+use lapismoor_core::membership::{
+    LearnedFrom, ServiceVersion, Source, Sources, StoreItem, max_source_age,
+};
 
 use super::apply::{Cause, apply};
 use super::client::{Consistency, StoreClient, StoreError};
+use super::evacuations;
 use super::source_client::{SourceAnswer, SourceClient};
 use super::update::StoreUpdate;
 use crate::context::Edge;
@@ -217,12 +220,28 @@
         let is_list = self.revision.is_none();
         let cause = self.cause_of_updates(edge, answer.revision);
         let is_first_list = cause == Cause::FirstList;
+        let confirmed_at = edge.state.borrow().freshness.confirmed_at();
         let items = self.update_mirror(edge, now, answer);
         // Marks are written one at a time, so that there is nothing to gather.
         let is_mark = |item: &StoreItem| ServiceVersion::from_mark_key(&item.key).is_some();
         self.had_changes = items.iter().any(|item| !is_mark(item));
+        let learned_from = match cause {
+            Cause::FirstList => LearnedFrom::FirstList,
+            Cause::Restored => LearnedFrom::RestoredList,
+            Cause::Change if is_list => LearnedFrom::List,
+            Cause::Change => LearnedFrom::Change,
+        };
         for update in items.iter().filter_map(client.decode) {
-            apply(edge, now, update, cause);
+            match update {
+                StoreUpdate::Evacuated {
+                    domain,
+                    is_readable,
+                } => evacuations::begin(edge, &domain, is_readable, learned_from, confirmed_at),
+                StoreUpdate::EvacuationEnded { domain } => {
+                    evacuations::end(edge, &domain, learned_from);
+                }
+                update => apply(edge, now, update, cause),
+            }
         }
         if cause == Cause::Restored {
             self.relist_at = Some(now + RESTORE_SETTLING_TIME);
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -4,6 +4,7 @@
 mod announce;
 mod apply;
 mod client;
+mod evacuations;
 mod follow;
 mod mirror_source;
 mod observations;
@@ -17,6 +18,7 @@
 
 pub(crate) use announce::announce;
 pub use client::{Changes, Consistency, StoreCall, StoreClient, StoreError};
+pub(crate) use evacuations::sweep as sweep_evacuations;
 pub(crate) use follow::follow;
 pub(crate) use mirror_source::mirror_source;
 pub(crate) use observations::{exchange_between_collectors, exchange_observations};
--- a/crates/edge/src/store/update.rs
+++ b/crates/edge/src/store/update.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use lapismoor_core::admission::{Evidence, TrialRecord};
 use lapismoor_core::config::Accepted;
-use lapismoor_core::ids::{DaemonId, TargetId};
+use lapismoor_core::ids::{DaemonId, FailureDomain, TargetId};
 use lapismoor_core::membership::{DaemonRecord, Mark, ServiceVersion, TargetEntry};
 use lapismoor_core::routing::RoutingConfig;
 use lapismoor_core::stream::StreamOrigin;
@@ -65,6 +65,18 @@
         /// Daemon id from the announcement's key.
         id: DaemonId,
     },
+    /// The operator evacuated a failure domain.
+    Evacuated {
+        /// The domain.
+        domain: FailureDomain,
+        /// Whether the value could be read. It has no meaning.
+        is_readable: bool,
+    },
+    /// The operator took an evacuation back.
+    EvacuationEnded {
+        /// The domain.
+        domain: FailureDomain,
+    },
     /// A target's entry was removed.
     TargetGone {
         /// Target id from the entry's key.
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -151,10 +151,10 @@
             .possible(self.now(), service_hash(service), lifetime)
     }
 
-    /// Whether targets of a service that are in use have a version.
+    /// Whether listed targets of a service have a version.
     pub(crate) fn serves_version(&self, service: &str, version: VersionHash) -> bool {
         let state = self.state.borrow();
-        let mut targets = state.directory.in_use(service);
+        let mut targets = state.directory.listed(service);
         targets.any(|target| target.version == version)
     }
 
--- a/crates/lapismoor/src/settings.rs
+++ b/crates/lapismoor/src/settings.rs
@@ -1,14 +1,15 @@
 //! Daemon settings, read from a JSON file.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use lapismoor_caller::CallerSettings;
-use lapismoor_core::ids::{DaemonId, FailureDomain};
+use lapismoor_core::ids::{DaemonId, FailureDomain, Region};
 use lapismoor_core::once::OnceSettings;
 use lapismoor_core::retry::RetryBudgetSettings;
-use lapismoor_core::routing::LoadBound;
+use lapismoor_core::routing::{LoadBound, Regions};
 use lapismoor_edge::{EdgeSettings, FleetLimits, Tuning};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
@@ -30,6 +31,9 @@
     pub caller_address: SocketAddr,
     /// Addresses of the platform's services.
     pub platform: PlatformSettings,
+    /// Region of each failure domain, for profiles and workspaces with home regions.
+    #[serde(default)]
+    pub regions: BTreeMap<FailureDomain, Region>,
     /// Limits on requests from callers.
     #[serde(default)]
     pub caller: CallerSettings,
@@ -88,6 +92,9 @@
     pub drain_within_ms: u64,
     /// Time after the end of a target before which no other one has its address, in milliseconds.
     pub reuse_after_ms: u64,
+    /// Time within which no request reaches the targets of an evacuated failure domain any more,
+    /// in milliseconds.
+    pub evacuate_within_ms: u64,
     /// Retries allowed per 100 requests of a service.
     pub retry_percent: u32,
     /// Length of the sliding window in which retries are counted, in milliseconds.
@@ -105,6 +112,7 @@
             config_within_ms: 14_000,
             drain_within_ms: 5_000,
             reuse_after_ms: 2_000,
+            evacuate_within_ms: 5_000,
             retry_percent: 20,
             retry_window_ms: 10_000,
             retry_slack: 54,
@@ -208,6 +216,7 @@
         EdgeSettings {
             daemon: self.core.daemon,
             domain: self.core.failure_domain,
+            regions: Regions::new(self.regions.into_iter().collect()),
             caller_address: self.caller_address,
             ready_address: None,
             peer_address: self.core.peer_address,
@@ -230,6 +239,7 @@
             config_within: Duration::from_millis(self.config_within_ms),
             drain_within: Duration::from_millis(self.drain_within_ms),
             reuse_after: Duration::from_millis(self.reuse_after_ms),
+            evacuate_within: Duration::from_millis(self.evacuate_within_ms),
             load_bound: DEFAULT_LOAD_BOUND,
             budget: RetryBudgetSettings {
                 ratio_percent: self.retry_percent,
--- a/crates/lapismoorctl/src/status.rs
+++ b/crates/lapismoorctl/src/status.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lapismoor_edge::{Status, TargetStatus};
+use lapismoor_edge::{EvacuationStatus, Status, TargetStatus};
 use serde_json::json;
 
 use crate::error::CommandError;
@@ -43,12 +43,27 @@
         format_age(status.store_age_ms),
         status.in_flight,
     );
+    for evacuation in &status.evacuations {
+        text.push_str(&render_evacuation(evacuation));
+    }
     for target in &status.targets {
         text.push_str(&render_target(target));
     }
     text
 }
 
+fn render_evacuation(evacuation: &EvacuationStatus) -> String {
+    let progress = if evacuation.is_complete {
+        "no request is sent there"
+    } else {
+        "requests are moving to other domains"
+    };
+    format!(
+        "  {} is evacuated since {} ms ago: {progress}\n",
+        evacuation.domain, evacuation.since_ms_ago
+    )
+}
+
 fn render_target(target: &TargetStatus) -> String {
     let mut state = target.standing.to_string();
     if target.is_paused {
