--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -48,7 +48,7 @@
     pub struct TargetLoad {
         /// The target.
         pub target: TargetHash,
-        /// Its requests, running and waiting.
+        /// Its requests, running and waiting; zero if it reports none, and only its pace is known.
         pub requests: u32,
         /// Age of the report.
         pub age: Duration,
@@ -94,7 +94,7 @@
     });
     Observations {
         requests: requests.collect(),
-        loads: loads(now, since, directory, |target| target.load.is_own_report()),
+        loads: loads(now, since, directory, Origin::Own),
         limits: changed_limits(now, since, directory),
         streams: Vec::new(),
     }
@@ -107,7 +107,7 @@
 pub fn collected_observations(now: Moment, since: Moment, directory: &Directory) -> Observations {
     Observations {
         requests: Vec::new(),
-        loads: loads(now, since, directory, |_| true),
+        loads: loads(now, since, directory, Origin::Any),
         limits: changed_limits(now, since, directory),
         streams: Vec::new(),
     }
@@ -145,7 +145,7 @@
     });
     FleetSample {
         popular: popular.collect(),
-        loads: loads(now, since, directory, |_| true),
+        loads: loads(now, since, directory, Origin::Any),
         limits: changed_limits(now, since, directory),
     }
 }
@@ -181,23 +181,36 @@
     hash as u32
 }
 
-fn loads(
-    now: Moment,
-    since: Moment,
-    directory: &Directory,
-    is_included: impl Fn(&KnownTarget) -> bool,
-) -> Vec<TargetLoad> {
-    let targets = directory.targets().iter().filter(|one| is_included(one));
+/// Whose observations are told.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// Those of this daemon.
+    Own,
+    /// Those of other daemons too.
+    Any,
+}
+
+fn loads(now: Moment, since: Moment, directory: &Directory, origin: Origin) -> Vec<TargetLoad> {
+    let is_told = |is_own: bool| is_own || origin == Origin::Any;
     let to_load = |target: &KnownTarget| {
-        let (requests, reported_at) = target.load.report_since(since)?;
+        let view = &target.load;
+        let report = view.report_since(since);
+        let report = report.filter(|_| is_told(view.is_own_report()));
+        let pace = view.pace.since(since);
+        let pace = pace.filter(|_| is_told(view.pace.is_own()));
+        let pace_percent = pace.map(|(percent, _)| percent);
+        let pace_only = || pace.map(|(_, observed_at)| (0, observed_at));
+        let (requests, observed_at) = report.or_else(pace_only)?;
         Some(TargetLoad {
             target: target.hash,
             requests,
-            age: now.saturating_sub(reported_at),
-            pace_percent: None,
+            age: now.saturating_sub(observed_at),
+            pace_percent,
         })
     };
-    let mut loads: Vec<TargetLoad> = targets
+    let mut loads: Vec<TargetLoad> = directory
+        .targets()
+        .iter()
         .filter_map(to_load)
         .filter(|load| load.age < MAX_REPORT_AGE)
         .collect();
@@ -243,7 +256,13 @@
     directory.for_each_load(|target, view| {
         if let Ok(position) = sorted.binary_search_by_key(&target, |load| load.target) {
             let load = sorted[position];
-            view.record_relayed_report(now, now.saturating_sub(load.age), load.requests);
+            let observed_at = now.saturating_sub(load.age);
+            if load.requests > 0 || load.pace_percent.is_none() {
+                view.record_relayed_report(now, observed_at, load.requests);
+            }
+            if let Some(percent) = load.pace_percent {
+                view.pace.record_relayed(now, observed_at, percent);
+            }
         }
     });
 }
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
+use crate::routing::pace::PaceView;
 
 /// Age at which a load report is no longer used. Most streams end within this time, but a home
 /// keeps getting the requests of its parts, so that an older report still says more than the mean.
@@ -38,6 +39,10 @@
     received_at: Moment,
     /// Whether the last report came from the target itself.
     is_own_report: bool,
+    /// Time that work takes there.
+    pub pace: PaceView,
+    /// Shortest time in which a connection was opened, which is about the way there and back.
+    round_trip: Option<Duration>,
 }
 
 impl LoadView {
@@ -87,12 +92,30 @@
         self.received_at = now;
     }
 
+    /// Records that a connection to the target was opened in `time`.
+    pub fn record_connected(&mut self, time: Duration) {
+        self.round_trip = Some(self.round_trip.map_or(time, |least| least.min(time)));
+    }
+
+    /// Time that the target itself took for an answer that arrived `time` after its request was
+    /// sent.
+    #[must_use]
+    pub fn time_at_target(&self, time: Duration) -> Duration {
+        time.saturating_sub(self.round_trip.unwrap_or_default())
+    }
+
     /// Requests of this daemon in flight at the target.
     #[must_use]
     pub fn own_requests(&self) -> u32 {
         self.own_requests
     }
 
+    /// Whether the target has ever reported its load.
+    #[must_use]
+    pub fn has_report(&self) -> bool {
+        self.reported_at.is_some()
+    }
+
     /// Age of the last report; `None` before the first one.
     #[must_use]
     pub fn report_age(&self, now: Moment) -> Option<Duration> {
--- /dev/null
+++ b/crates/core/src/routing/pace.rs
@@ -0,0 +1,182 @@
+//! Pace of a target: the time that work takes there now, in percent of the usual.
+//!
+//! Load pattern: targets share their machines with others and turn several times slower for parts
+//! of a second. What is known of it is noisy, and late when it was learned from other daemons. It
+//! therefore counts less with age, and a target of which nothing new is known is taken to be as
+//! usual.
+//!
+//! Some targets state their pace in their answers. That of the others follows from the times of
+//! their answers, compared with the typical ones of their service.
+
+use std::time::Duration;
+
+use crate::clock::Moment;
+
+/// Time of work in percent of the usual.
+pub type PacePercent = u16;
+
+/// Pace of a target that works as usual.
+pub const USUAL_PERCENT: PacePercent = 100;
+
+/// Paces beyond these count as these, so that one false figure neither empties a target nor draws
+/// all requests to it.
+const MIN_PERCENT: f64 = 50.0;
+const MAX_PERCENT: f64 = 400.0;
+/// Time in which an observation loses two thirds of its weight (1 - 1/e): moments of slowness last
+/// parts of a second.
+const MOMENT: Duration = Duration::from_millis(500);
+/// The same for the lasting pace, which decides whether shared parts are read elsewhere: a shorter
+/// slowness is over before such a move has paid off.
+const LASTING: Duration = Duration::from_secs(3);
+/// Weight of the assumption that a target works as usual, in observations.
+const USUAL_WEIGHT: f64 = 1.0;
+/// Greatest weight of earlier observations.
+const MAX_WEIGHT: f64 = 4.0;
+/// Longest memory of the typical answer time, in answers.
+const TYPICAL_ANSWERS: f64 = 64.0;
+/// Answers after which the typical time is known.
+const MIN_TYPICAL_ANSWERS: f64 = 8.0;
+
+/// Moving average of observations whose weight decays with their age. Averages are geometric, as
+/// times of work vary by factors.
+#[derive(Debug, Clone, Default)]
+struct Average {
+    /// Natural logarithm of the pace, 0 as usual.
+    ln_pace: f64,
+    /// Weight at the time of the last observation. Invariant: at most [`MAX_WEIGHT`] + 1.
+    weight: f64,
+}
+
+impl Average {
+    fn add(&mut self, since_last: Duration, memory: Duration, ln_pace: f64) {
+        let weight = decayed(self.weight, since_last, memory).min(MAX_WEIGHT);
+        self.weight = weight + 1.0;
+        self.ln_pace += (ln_pace - self.ln_pace) / self.weight;
+    }
+
+    fn factor(&self, age: Duration, memory: Duration) -> f64 {
+        let weight = decayed(self.weight, age, memory);
+        (self.ln_pace * weight / (weight + USUAL_WEIGHT)).exp()
+    }
+}
+
+/// Pace of one target as seen by this daemon.
+#[derive(Debug, Clone, Default)]
+pub struct PaceView {
+    moment: Average,
+    lasting: Average,
+    /// Time of the last observation, made by this daemon or another one.
+    observed_at: Option<Moment>,
+    /// When the last observation reached this daemon.
+    received_at: Moment,
+    /// Whether this daemon made the last observation.
+    is_own: bool,
+}
+
+impl PaceView {
+    /// Records a pace that this daemon observed.
+    pub fn record(&mut self, now: Moment, percent: PacePercent) {
+        self.add(now, now, percent);
+        self.is_own = true;
+    }
+
+    /// Records a pace that another daemon observed at `observed_at`. Ignored unless it is newer than
+    /// the last one.
+    pub fn record_relayed(&mut self, now: Moment, observed_at: Moment, percent: PacePercent) {
+        if self.observed_at.is_none_or(|last| last < observed_at) {
+            self.add(now, observed_at.min(now), percent);
+            self.is_own = false;
+        }
+    }
+
+    fn add(&mut self, now: Moment, observed_at: Moment, percent: PacePercent) {
+        let since_last = observed_at.saturating_sub(self.observed_at.unwrap_or(observed_at));
+        let ln_pace = to_ln(f64::from(percent));
+        self.moment.add(since_last, MOMENT, ln_pace);
+        self.lasting.add(since_last, LASTING, ln_pace);
+        self.observed_at = Some(observed_at);
+        self.received_at = now;
+    }
+
+    /// Time that work takes at this moment, as a multiple of the usual; 1 if nothing is known.
+    #[must_use]
+    pub fn factor(&self, now: Moment) -> f64 {
+        self.age(now)
+            .map_or(1.0, |age| self.moment.factor(age, MOMENT))
+    }
+
+    /// Time that work has taken for some seconds, as a multiple of the usual; 1 if nothing is known.
+    #[must_use]
+    pub fn lasting_factor(&self, now: Moment) -> f64 {
+        self.age(now)
+            .map_or(1.0, |age| self.lasting.factor(age, LASTING))
+    }
+
+    /// Time that work takes at this moment, in percent of the usual; `None` before the first
+    /// observation.
+    #[must_use]
+    pub fn percent(&self, now: Moment) -> Option<PacePercent> {
+        self.observed_at.map(|_| to_percent(self.factor(now).ln()))
+    }
+
+    /// Age of the last observation; `None` before the first one.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.observed_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Average pace at the last observation and the time of that, if it reached this daemon after
+    /// `since`.
+    #[must_use]
+    pub fn since(&self, since: Moment) -> Option<(PacePercent, Moment)> {
+        let observed_at = self.observed_at?;
+        (self.received_at > since).then_some((to_percent(self.moment.ln_pace), observed_at))
+    }
+
+    /// Whether this daemon made the last observation.
+    #[must_use]
+    pub fn is_own(&self) -> bool {
+        self.is_own
+    }
+}
+
+/// Typical time of the answers of a service whose targets don't state their pace.
+#[derive(Debug, Clone, Default)]
+pub struct TypicalTime {
+    ln_seconds: f64,
+    /// Answers recorded. Invariant: at most [`TYPICAL_ANSWERS`].
+    answers: f64,
+}
+
+impl TypicalTime {
+    /// Records the time of an answer. Returns the pace that it shows, once the typical time is
+    /// known.
+    pub fn record(&mut self, time: Duration) -> Option<PacePercent> {
+        let ln_seconds = time.max(Duration::from_micros(100)).as_secs_f64().ln();
+        let percent =
+            (self.answers >= MIN_TYPICAL_ANSWERS).then(|| to_percent(ln_seconds - self.ln_seconds));
+        self.answers = (self.answers + 1.0).min(TYPICAL_ANSWERS);
+        self.ln_seconds += (ln_seconds - self.ln_seconds) / self.answers;
+        percent
+    }
+}
+
+/// Pace that a target shows that rejects a request because it is full.
+#[must_use]
+pub fn rejection_pace() -> PacePercent {
+    to_percent(to_ln(MAX_PERCENT))
+}
+
+fn to_ln(percent: f64) -> f64 {
+    (percent.clamp(MIN_PERCENT, MAX_PERCENT) / f64::from(USUAL_PERCENT)).ln()
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn to_percent(ln_pace: f64) -> PacePercent {
+    let percent = ln_pace.exp() * f64::from(USUAL_PERCENT);
+    percent.clamp(MIN_PERCENT, MAX_PERCENT).round() as PacePercent
+}
+
+fn decayed(weight: f64, age: Duration, memory: Duration) -> f64 {
+    weight * (-age.as_secs_f64() / memory.as_secs_f64()).exp()
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -19,7 +19,8 @@
 use lapismoor_core::once::Ledger;
 use lapismoor_core::retry::{MAX_PAUSE, RetryBudget};
 use lapismoor_core::routing::{
-    Chooser, ReportedLoad, RoutingConfig, Service, idle_connection_limit, profile_route,
+    Chooser, PacePercent, ReportedLoad, RoutingConfig, Service, idle_connection_limit,
+    profile_route,
 };
 use lapismoor_core::stream::StreamOrigins;
 use lapismoor_core::{Clock, Moment};
@@ -388,6 +389,38 @@
         }
     }
 
+    /// Records the pace that a target states.
+    pub fn target_stated_pace(&self, target: TargetKey, percent: PacePercent) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.load.pace.record(now, percent);
+        }
+    }
+
+    /// Records the time from a request to the head of its answer, for a target that states neither
+    /// its load nor its pace.
+    pub(crate) fn target_answered_in(&self, target: TargetKey, time: Duration) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let State {
+            chooser, directory, ..
+        } = &mut *state;
+        chooser.record_answer_time(now, directory, target, time);
+    }
+
+    /// Records the time in which a connection to a target was opened.
+    pub(crate) fn target_connected_in(&self, target: TargetKey, time: Duration) {
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.load.record_connected(time);
+        }
+    }
+
+    /// Time that work takes at a target now, in percent of the usual; `None` if it is not known.
+    pub(crate) fn pace_percent(&self, target: TargetKey) -> Option<PacePercent> {
+        let state = self.state.borrow();
+        state.directory.get(target)?.load.pace.percent(self.now())
+    }
+
     /// Number of idle connections that may be kept to a target of a service.
     #[must_use]
     pub fn idle_connection_limit(&self, service: &ServiceId) -> usize {
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -6,7 +6,7 @@
 use actix_http::header::{HeaderMap, HeaderName};
 use compact_str::CompactString;
 use lapismoor_core::admission::RequestRate;
-use lapismoor_core::routing::{PromptPart, ReportedLoad};
+use lapismoor_core::routing::{PacePercent, PromptPart, ReportedLoad};
 use snafu::Snafu;
 
 /// Metadata from a caller's request headers.
@@ -80,6 +80,8 @@
     pub is_not_run: bool,
     /// Load that the target reports.
     pub load: Option<ReportedLoad>,
+    /// Time that work takes at the target now, in percent of the usual, if it states that.
+    pub pace_percent: Option<PacePercent>,
     /// How long the target keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
     /// Whether the target states that it leaves.
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt: connects to one target, sends the request and reads the head of the answer.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead, StatusCode, header};
 use bytes::{Bytes, BytesMut};
@@ -8,6 +9,7 @@
 use lapismoor_core::ids::{TargetId, TargetKey};
 use lapismoor_core::retry::{AnswerKind, AttemptEnd, classify_answer};
 use lapismoor_core::routing::Choice;
+use lapismoor_core::routing::pace::rejection_pace;
 use opentelemetry::trace::SpanKind;
 
 use super::job::{InFlight, Job};
@@ -194,6 +196,7 @@
         };
         job.in_flight.borrow_mut().push(self.in_flight);
         let body = job.request.body.clone();
+        let asked_at = edge.now();
         let exchange = self.connection.exchange(head, body, answers_request);
         let (head, body) = match tokio::time::timeout(job.time_left(), exchange).await {
             Ok(Ok(answer)) => answer,
@@ -232,10 +235,29 @@
             _span: self.span,
             guard: Some(self.guard),
         };
+        record_pace(job, &answer, edge.now().saturating_sub(asked_at));
         check_answer(job, answer).await
     }
 }
 
+/// Records the pace that the answer states or shows. Answers of streams show none: their times depend
+/// on the prompt.
+fn record_pace(job: &Job, answer: &Answer, time: Duration) {
+    let edge = &job.edge;
+    let metadata = &answer.metadata;
+    if let Some(percent) = metadata.pace_percent {
+        edge.target_stated_pace(answer.target, percent);
+        return;
+    }
+    let is_silent = metadata.load.is_none() && !job.request.route.is_stream();
+    let status = answer.head.status;
+    if is_silent && metadata.is_signed && status.is_success() {
+        edge.target_answered_in(answer.target, time);
+    } else if is_silent && metadata.is_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
+        edge.target_stated_pace(answer.target, rejection_pace());
+    }
+}
+
 /// Classifies an answer by its head. Buffers a failed answer, and keeps the connection where the
 /// body could be read.
 async fn check_answer(job: &Job, mut answer: Answer) -> Result<Answer, FailedAttempt> {
@@ -361,7 +383,10 @@
     }
     edge.metrics.connections_opened.add(1, &[]);
     let timeout = edge.settings.tuning.connect_timeout.min(job.time_left());
-    Ok((Connection::open(address, timeout).await?, false))
+    let opened_at = edge.now();
+    let connection = Connection::open(address, timeout).await?;
+    edge.target_connected_in(target, edge.now().saturating_sub(opened_at));
+    Ok((connection, false))
 }
 
 fn failed_attempt(edge: &Edge, target: TargetKey, error: &ExchangeError) -> FailedAttempt {
@@ -448,6 +473,7 @@
         load = choice.load,
         bound = choice.bound,
         load_age_ms = job.edge.load_age(choice.target).map(millis),
+        pace_percent = job.edge.pace_percent(choice.target),
         fetch = choice.fetch_from.is_some(),
         sends = job.progress.get().sends,
         last_event,
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -59,6 +59,12 @@
     pub own_requests: u32,
     /// Age of the last load report, in milliseconds; `None` without a report.
     pub load_age_ms: Option<u64>,
+    /// Time that work takes there now, in percent of the usual; `None` if it is not known.
+    #[serde(default)]
+    pub pace_percent: Option<u16>,
+    /// Age of the last observation of the pace, in milliseconds.
+    #[serde(default)]
+    pub pace_age_ms: Option<u64>,
     /// Time since the target last sent any bytes, in milliseconds.
     pub heard_ms_ago: u64,
     /// Requests per second that the target takes from all daemons together; `None` without a limit.
@@ -116,6 +122,8 @@
         is_failing: target.breaker.is_failing(now),
         own_requests: target.load.own_requests(),
         load_age_ms: target.load.report_age(now).map(millis),
+        pace_percent: target.load.pace.percent(now),
+        pace_age_ms: target.load.pace.age(now).map(millis),
         heard_ms_ago: millis(now.saturating_sub(target.last_received_at)),
         limit_per_s: rate.map(RequestRate::per_s),
         share_per_s: rate.map(|_| target.limit.share_per_s(now)),
