--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -15,6 +15,7 @@
 use crate::ids::{ServiceId, TargetId, hash_parts};
 use crate::membership::{Directory, KnownTarget, TargetIncarnation};
 use crate::routing::choice::Chooser;
+use crate::routing::pace::{PacePercent, PaceView};
 use crate::routing::popularity::{PartRequests, PartShare};
 use crate::stream::StreamOrigin;
 
@@ -120,7 +121,12 @@
     directory: &mut Directory,
     chooser: &mut Chooser,
 ) {
-    merge_loads(now, &observations.loads, directory);
+    merge_loads(
+        now,
+        &observations.loads,
+        directory,
+        PaceView::record_relayed,
+    );
     for (service, requests) in &observations.requests {
         if let Some(service) = service_by_hash(directory, *service) {
             chooser.popularity(&service).merge(now, requests);
@@ -157,7 +163,7 @@
     directory: &mut Directory,
     chooser: &mut Chooser,
 ) {
-    merge_loads(now, &sample.loads, directory);
+    merge_loads(now, &sample.loads, directory, PaceView::record_merged);
     for (service, shares) in sample.popular {
         if let Some(service) = service_by_hash(directory, service) {
             chooser.popularity(&service).set_fleet_shares(now, shares);
@@ -196,8 +202,10 @@
         let view = &target.load;
         let report = view.report_since(since);
         let report = report.filter(|_| is_told(view.is_own_report()));
-        let pace = view.pace.since(since);
-        let pace = pace.filter(|_| is_told(view.pace.is_own()));
+        let pace = match origin {
+            Origin::Own => view.pace.own_since(since),
+            Origin::Any => view.pace.merged_since(since),
+        };
         let pace_percent = pace.map(|(percent, _)| percent);
         let pace_only = || pace.map(|(_, observed_at)| (0, observed_at));
         let (requests, observed_at) = report.or_else(pace_only)?;
@@ -250,7 +258,12 @@
     changes
 }
 
-fn merge_loads(now: Moment, loads: &[TargetLoad], directory: &mut Directory) {
+fn merge_loads(
+    now: Moment,
+    loads: &[TargetLoad],
+    directory: &mut Directory,
+    record_pace: impl Fn(&mut PaceView, Moment, Moment, PacePercent),
+) {
     let mut sorted: Vec<&TargetLoad> = loads.iter().collect();
     sorted.sort_by_key(|load| load.target);
     directory.for_each_load(|target, view| {
@@ -261,7 +274,7 @@
                 view.record_relayed_report(now, observed_at, load.requests);
             }
             if let Some(percent) = load.pace_percent {
-                view.pace.record_relayed(now, observed_at, percent);
+                record_pace(&mut view.pace, now, observed_at, percent);
             }
         }
     });
--- a/crates/core/src/routing/pace.rs
+++ b/crates/core/src/routing/pace.rs
@@ -30,12 +30,15 @@
 const LASTING: Duration = Duration::from_secs(3);
 /// Weight of the assumption that a target works as usual, in observations.
 const USUAL_WEIGHT: f64 = 1.0;
-/// Greatest weight of earlier observations.
-const MAX_WEIGHT: f64 = 4.0;
+/// Weight of what a daemon tells that has merged the observations of others.
+const MERGED_WEIGHT: f64 = 4.0;
+/// Observations of other daemons that are older than the last one by less than this are used: those
+/// of several daemons arrive in any order.
+const MAX_DISORDER: Duration = Duration::from_millis(250);
 /// Longest memory of the typical answer time, in answers.
 const TYPICAL_ANSWERS: f64 = 64.0;
 /// Answers after which the typical time is known.
-const MIN_TYPICAL_ANSWERS: f64 = 8.0;
+const MIN_TYPICAL_ANSWERS: f64 = 3.0;
 
 /// Moving average of observations whose weight decays with their age. Averages are geometric, as
 /// times of work vary by factors.
@@ -43,15 +46,14 @@
 struct Average {
     /// Natural logarithm of the pace, 0 as usual.
     ln_pace: f64,
-    /// Weight at the time of the last observation. Invariant: at most [`MAX_WEIGHT`] + 1.
+    /// Weight at the time of the last observation, in observations.
     weight: f64,
 }
 
 impl Average {
-    fn add(&mut self, since_last: Duration, memory: Duration, ln_pace: f64) {
-        let weight = decayed(self.weight, since_last, memory).min(MAX_WEIGHT);
-        self.weight = weight + 1.0;
-        self.ln_pace += (ln_pace - self.ln_pace) / self.weight;
+    fn add(&mut self, since_last: Duration, memory: Duration, ln_pace: f64, weight: f64) {
+        self.weight = decayed(self.weight, since_last, memory) + weight;
+        self.ln_pace += (ln_pace - self.ln_pace) * weight / self.weight;
     }
 
     fn factor(&self, age: Duration, memory: Duration) -> f64 {
@@ -69,32 +71,47 @@
     observed_at: Option<Moment>,
     /// When the last observation reached this daemon.
     received_at: Moment,
-    /// Whether this daemon made the last observation.
-    is_own: bool,
+    /// Observations of this daemon.
+    own: Average,
+    own_observed_at: Option<Moment>,
 }
 
 impl PaceView {
     /// Records a pace that this daemon observed.
     pub fn record(&mut self, now: Moment, percent: PacePercent) {
-        self.add(now, now, percent);
-        self.is_own = true;
+        let since_last = now.saturating_sub(self.own_observed_at.unwrap_or(now));
+        self.own
+            .add(since_last, MOMENT, to_ln(f64::from(percent)), 1.0);
+        self.own_observed_at = Some(now);
+        self.add(now, now, percent, 1.0);
     }
 
-    /// Records a pace that another daemon observed at `observed_at`. Ignored unless it is newer than
-    /// the last one.
+    /// Records a pace that another daemon observed at `observed_at`. Ignored if later ones are known.
     pub fn record_relayed(&mut self, now: Moment, observed_at: Moment, percent: PacePercent) {
-        if self.observed_at.is_none_or(|last| last < observed_at) {
-            self.add(now, observed_at.min(now), percent);
-            self.is_own = false;
+        self.add_relayed(now, observed_at, percent, 1.0);
+    }
+
+    /// Records a pace that follows from observations of several daemons, the last of them at
+    /// `observed_at`. Ignored if later ones are known.
+    pub fn record_merged(&mut self, now: Moment, observed_at: Moment, percent: PacePercent) {
+        self.add_relayed(now, observed_at, percent, MERGED_WEIGHT);
+    }
+
+    fn add_relayed(&mut self, now: Moment, observed_at: Moment, percent: PacePercent, weight: f64) {
+        let is_used = self
+            .observed_at
+            .is_none_or(|last| observed_at + MAX_DISORDER > last && observed_at != last);
+        if is_used {
+            self.add(now, observed_at.min(now), percent, weight);
         }
     }
 
-    fn add(&mut self, now: Moment, observed_at: Moment, percent: PacePercent) {
+    fn add(&mut self, now: Moment, observed_at: Moment, percent: PacePercent, weight: f64) {
         let since_last = observed_at.saturating_sub(self.observed_at.unwrap_or(observed_at));
         let ln_pace = to_ln(f64::from(percent));
-        self.moment.add(since_last, MOMENT, ln_pace);
-        self.lasting.add(since_last, LASTING, ln_pace);
-        self.observed_at = Some(observed_at);
+        self.moment.add(since_last, MOMENT, ln_pace, weight);
+        self.lasting.add(since_last, LASTING, ln_pace, weight);
+        self.observed_at = self.observed_at.max(Some(observed_at));
         self.received_at = now;
     }
 
@@ -125,18 +142,21 @@
         self.observed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Average pace at the last observation and the time of that, if it reached this daemon after
+    /// Pace that this daemon observed itself and the time of the last observation, if that is after
     /// `since`.
     #[must_use]
-    pub fn since(&self, since: Moment) -> Option<(PacePercent, Moment)> {
-        let observed_at = self.observed_at?;
-        (self.received_at > since).then_some((to_percent(self.moment.ln_pace), observed_at))
+    pub fn own_since(&self, since: Moment) -> Option<(PacePercent, Moment)> {
+        let observed_at = self.own_observed_at.filter(|at| *at > since)?;
+        Some((to_percent(self.own.ln_pace), observed_at))
     }
 
-    /// Whether this daemon made the last observation.
+    /// Pace at the last observation, of this daemon or another one, and the time of that, if it
+    /// reached this daemon after `since`.
     #[must_use]
-    pub fn is_own(&self) -> bool {
-        self.is_own
+    pub fn merged_since(&self, since: Moment) -> Option<(PacePercent, Moment)> {
+        let observed_at = self.observed_at.filter(|_| self.received_at > since)?;
+        let factor = self.moment.factor(Duration::ZERO, MOMENT);
+        Some((to_percent(factor.ln()), observed_at))
     }
 }
 
