--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -79,7 +79,7 @@
 
 impl GateLimits {
     /// In-flight limit for requests of a rank.
-    fn for_rank(&self, rank: u8) -> usize {
+    pub(super) fn for_rank(&self, rank: u8) -> usize {
         if rank == 0 {
             return self.in_flight;
         }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,20 +1,28 @@
 //! Admission of requests: limits, queues, bans and the reasons for a refusal.
 
+pub mod answer_times;
+pub mod cost;
+pub mod cost_gate;
 pub mod flight_limit;
 pub mod gate;
 pub mod queue;
 pub mod rate_limit;
 pub mod refusal;
+pub mod room;
 pub mod startup;
 pub mod stop_plan;
 pub mod suspects;
 pub mod target_limits;
 pub mod workspaces;
 
-pub use flight_limit::gate_limits;
+pub use answer_times::AnswerTimes;
+pub use cost::{Prospect, RequestNeed, return_after};
+pub use cost_gate::CostGate;
+pub use flight_limit::{gate_limits, room_limits};
 pub use gate::{Gate, Priority};
 pub use rate_limit::RateLimit;
 pub use refusal::Refusal;
+pub use room::{AnswerTiming, TargetRooms};
 pub use startup::wait_for_configuration;
 pub use stop_plan::{StopPhase, StopPlan};
 pub use suspects::{
--- a/crates/core/src/admission/queue.rs
+++ b/crates/core/src/admission/queue.rs
@@ -2,7 +2,8 @@
 //!
 //! Ranks are served strictly by urgency; within a rank, workspaces share the turns by weight. Once
 //! the oldest request of the least urgent rank has waited for the aging threshold, one of
-//! every `AGED_TURN_INTERVAL` turns goes to that rank.
+//! every `AGED_TURN_INTERVAL` turns goes to that rank. Items of a workspace are served in the order
+//! in which they were added, unless they are added with a position of their own.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 const AGED_TURN_INTERVAL: u32 = 8;
 /// Virtual time that a request of a workspace of weight 1 takes.
 const UNIT_COST: u64 = 1 << 20;
+/// Work of an item that is added without it, in percent.
+const USUAL_WORK_PERCENT: u32 = 100;
 
 /// A queued item and what decides its position.
 #[derive(Debug, Clone)]
@@ -30,13 +33,24 @@
     pub item: T,
 }
 
+/// An item in the flow of its workspace.
+#[derive(Debug, Clone)]
+struct OrderedItem<T> {
+    /// Items with a smaller position are served first.
+    position: u64,
+    /// Work of the item, in percent of the usual.
+    work_percent: u32,
+    queued: QueuedItem<T>,
+}
+
 #[derive(Debug, Clone)]
 struct Flow<T> {
     workspace: WorkspaceId,
     weight: u32,
     /// Virtual finish time of the flow's next item. The smallest one is served first.
     virtual_finish: u64,
-    items: VecDeque<QueuedItem<T>>,
+    /// Invariant: sorted by position.
+    items: VecDeque<OrderedItem<T>>,
 }
 
 #[derive(Debug, Clone)]
@@ -100,14 +114,29 @@
 
     /// Adds an item at the end of its workspace's flow.
     pub fn push(&mut self, queued: QueuedItem<T>) {
+        self.push_at(u64::MAX, USUAL_WORK_PERCENT, queued);
+    }
+
+    /// Adds an item to its workspace's flow before those with a greater `position`. It takes as much
+    /// of the workspace's share as its work, in percent of the usual.
+    pub fn push_at(&mut self, position: u64, work_percent: u32, queued: QueuedItem<T>) {
+        let item = OrderedItem {
+            position,
+            work_percent,
+            queued,
+        };
+        self.rank_queue(item.queued.rank).push(item);
+    }
+
+    fn rank_queue(&mut self, rank: u8) -> &mut RankQueue<T> {
         let found = self
             .ranks
-            .binary_search_by_key(&queued.rank, |rank_queue| rank_queue.rank);
+            .binary_search_by_key(&rank, |rank_queue| rank_queue.rank);
         let position = found.unwrap_or_else(|position| {
-            self.ranks.insert(position, RankQueue::new(queued.rank));
+            self.ranks.insert(position, RankQueue::new(rank));
             position
         });
-        self.ranks[position].push(queued);
+        &mut self.ranks[position]
     }
 
     /// Rank of the item that [`Queue::pop`] would return.
@@ -149,6 +178,20 @@
             .sum()
     }
 
+    /// Removes and returns the items for which `should_take` holds.
+    pub fn take_where(&mut self, should_take: impl Fn(&T) -> bool) -> Vec<QueuedItem<T>> {
+        let ranks = self.ranks.iter_mut();
+        ranks
+            .flat_map(|rank_queue| rank_queue.take_where(&should_take))
+            .collect()
+    }
+
+    /// The queued items.
+    pub fn iter(&self) -> impl Iterator<Item = &QueuedItem<T>> {
+        let flows = self.ranks.iter().flat_map(|ranks| &ranks.flows);
+        flows.flat_map(|flow| flow.items.iter().map(|item| &item.queued))
+    }
+
     fn aged_rank(&self, now: Moment) -> Option<usize> {
         if self.turns_since_aged + 1 < AGED_TURN_INTERVAL {
             return None;
@@ -187,22 +230,25 @@
             .sum::<usize>()
     }
 
-    fn push(&mut self, queued: QueuedItem<T>) {
+    fn push(&mut self, item: OrderedItem<T>) {
+        let workspace = &item.queued.workspace;
         let found = self
             .flows
-            .binary_search_by(|flow| flow.workspace.cmp(&queued.workspace));
+            .binary_search_by(|flow| flow.workspace.cmp(workspace));
         let position = found.unwrap_or_else(|position| {
             let flow = Flow {
-                workspace: queued.workspace.clone(),
-                weight: queued.weight,
-                virtual_finish: self.virtual_time + cost(queued.weight),
+                workspace: workspace.clone(),
+                weight: item.queued.weight,
+                virtual_finish: self.virtual_time + item.cost(),
                 items: VecDeque::new(),
             };
             self.flows.insert(position, flow);
             position
         });
         self.length += 1;
-        self.flows[position].items.push_back(queued);
+        let items = &mut self.flows[position].items;
+        let behind = items.partition_point(|other| other.position <= item.position);
+        items.insert(behind, item);
     }
 
     fn pop(&mut self) -> Option<QueuedItem<T>> {
@@ -210,13 +256,13 @@
         let position = (0..self.flows.len()).min_by_key(virtual_finish)?;
         let flow = &mut self.flows[position];
         self.virtual_time = self.virtual_time.max(flow.virtual_finish);
-        let queued = flow.items.pop_front()?;
-        flow.virtual_finish += cost(queued.weight);
+        let item = flow.items.pop_front()?;
+        flow.virtual_finish += item.cost();
         if flow.items.is_empty() {
             self.flows.remove(position);
         }
         self.length -= 1;
-        Some(queued)
+        Some(item.queued)
     }
 
     fn pop_newest(&mut self) -> Option<QueuedItem<T>> {
@@ -224,10 +270,10 @@
             self.flows[*position]
                 .items
                 .back()
-                .map(|item| item.queued_at)
+                .map(|item| item.queued.queued_at)
         };
         let position = (0..self.flows.len()).max_by_key(newest)?;
-        let queued = self.flows[position].items.pop_back()?;
+        let queued = self.flows[position].items.pop_back()?.queued;
         if self.flows[position].items.is_empty() {
             self.flows.remove(position);
         }
@@ -236,14 +282,31 @@
     }
 
     fn oldest(&self) -> Option<Moment> {
-        let first = |flow: &Flow<T>| flow.items.front().map(|queued| queued.queued_at);
+        let first = |flow: &Flow<T>| flow.items.iter().map(|item| item.queued.queued_at).min();
         self.flows.iter().filter_map(first).min()
     }
 
+    fn take_where(&mut self, should_take: &impl Fn(&T) -> bool) -> Vec<QueuedItem<T>> {
+        let mut taken = Vec::new();
+        for flow in &mut self.flows {
+            if !flow.items.iter().any(|item| should_take(&item.queued.item)) {
+                continue;
+            }
+            let items = std::mem::take(&mut flow.items).into_iter();
+            let (taken_items, kept) = items.partition(|item| should_take(&item.queued.item));
+            flow.items = kept;
+            let taken_items: VecDeque<OrderedItem<T>> = taken_items;
+            taken.extend(taken_items.into_iter().map(|item| item.queued));
+        }
+        self.flows.retain(|flow| !flow.items.is_empty());
+        self.length -= taken.len();
+        taken
+    }
+
     fn remove_where(&mut self, should_remove: &mut impl FnMut(&T) -> bool) -> usize {
         let before = self.length;
         for flow in &mut self.flows {
-            flow.items.retain(|queued| !should_remove(&queued.item));
+            flow.items.retain(|item| !should_remove(&item.queued.item));
         }
         self.flows.retain(|flow| !flow.items.is_empty());
         self.length = self.flows.iter().map(|flow| flow.items.len()).sum();
@@ -251,6 +314,10 @@
     }
 }
 
-fn cost(weight: u32) -> u64 {
-    UNIT_COST / u64::from(weight.max(1))
+impl<T> OrderedItem<T> {
+    /// Virtual time that the item takes.
+    fn cost(&self) -> u64 {
+        let work = UNIT_COST / 100 * u64::from(self.work_percent.max(1));
+        work / u64::from(self.queued.weight.max(1))
+    }
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,3 +1,4 @@
 //! Helpers shared by tests of decisions.
 
 pub mod fleet;
+pub mod overload;
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -8,16 +8,20 @@
 use lapismoor_core::admission::gate::{
     Admission, Gate, GateLimits, MIN_RETRY_AFTER, Ticket, max_wait,
 };
-use lapismoor_core::admission::{Priority, Refusal, gate_limits};
+use lapismoor_core::admission::{CostGate, Refusal, RequestNeed, gate_limits, room_limits};
 use lapismoor_core::ids::ServiceId;
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
 use crate::context::Edge;
+use crate::millis::millis;
 
 /// Admission state of one service.
 #[derive(Default)]
 struct ServiceAdmission {
+    /// Admits the requests if the configuration sets the number of requests per target.
     gate: Gate,
+    /// Admits the requests otherwise.
+    cost_gate: CostGate,
     /// Notifies queued requests that they may be sent; dropped when a request is evicted.
     queued: Vec<(Ticket, oneshot::Sender<()>)>,
 }
@@ -35,7 +39,7 @@
     /// Time from `received` within which the answer should arrive.
     pub latency_objective: Duration,
     /// Decides the order in the queue.
-    pub priority: &'a Priority,
+    pub need: RequestNeed,
     pub received: Moment,
 }
 
@@ -43,6 +47,8 @@
 pub struct Permit {
     edge: Rc<Edge>,
     service: ServiceId,
+    /// Whether the request was admitted by [`CostGate`].
+    is_by_cost: bool,
     since: Moment,
 }
 
@@ -50,9 +56,14 @@
     fn drop(&mut self) {
         let now = self.edge.now();
         let took = now.saturating_sub(self.since);
-        let limits = self.edge.gate_limits(&self.service);
+        let (limits, _) = self.edge.gate_limits(&self.service);
         let notified = self.edge.admission.with(&self.service, |admission| {
-            let tickets = admission.gate.release(now, &limits, took);
+            let tickets = if self.is_by_cost {
+                admission.cost_gate.release(now, &limits, took)
+            } else {
+                admission.gate.release(now, &limits, took)
+            };
+            admission.drop_hopeless();
             let is_admitted = |ticket: &Ticket| tickets.contains(ticket);
             admission
                 .queued
@@ -72,8 +83,9 @@
 struct QueuedRequest {
     edge: Rc<Edge>,
     service: ServiceId,
+    is_by_cost: bool,
     ticket: Ticket,
-    /// Receives the notification; closed if a more urgent request evicted this one.
+    /// Receives the notification; closed if another request evicted this one, or if it was dropped.
     notified: oneshot::Receiver<()>,
     has_permit: bool,
 }
@@ -84,18 +96,32 @@
             return;
         }
         match self.notified.try_recv() {
-            Ok(()) => drop(self.edge.new_permit(&self.service)),
+            Ok(()) => drop(self.edge.new_permit(&self.service, self.is_by_cost)),
             Err(TryRecvError::Closed) => {}
             Err(TryRecvError::Empty) => self.edge.admission.with(&self.service, |admission| {
                 admission
                     .queued
                     .retain(|(ticket, _)| *ticket != self.ticket);
-                admission.gate.cancel(self.ticket);
+                if self.is_by_cost {
+                    admission.cost_gate.cancel(self.ticket);
+                } else {
+                    admission.gate.cancel(self.ticket);
+                }
             }),
         }
     }
 }
 
+impl ServiceAdmission {
+    /// Lets the requests that the gate has dropped see that their senders are gone.
+    fn drop_hopeless(&mut self) {
+        let dropped = self.cost_gate.take_dropped();
+        if !dropped.is_empty() {
+            self.queued.retain(|(ticket, _)| !dropped.contains(ticket));
+        }
+    }
+}
+
 impl AdmissionControl {
     fn with<T>(&self, service: &ServiceId, act: impl FnOnce(&mut ServiceAdmission) -> T) -> T {
         let mut services = self.services.borrow_mut();
@@ -119,12 +145,21 @@
     ) -> Result<Permit, Refusal> {
         let service = request.service;
         let now = self.now();
-        let limits = self.gate_limits(service);
-        let max_wait = max_wait(request.latency_objective, request.received, now);
+        let (limits, is_by_cost) = self.gate_limits(service);
+        let need = &request.need;
+        let max_wait = if is_by_cost {
+            need.latest_start().saturating_sub(now)
+        } else {
+            max_wait(request.latency_objective, request.received, now)
+        };
         let (sender, notified) = oneshot::channel();
         let decision = self.admission.with(service, |admission| {
-            let gate = &mut admission.gate;
-            let decision = gate.admit(now, &limits, request.priority, max_wait);
+            let decision = if is_by_cost {
+                admission.cost_gate.admit(now, &limits, need)
+            } else {
+                let priority = &need.priority;
+                admission.gate.admit(now, &limits, priority, max_wait)
+            };
             if let Admission::Wait { ticket, evicted } = decision {
                 // The evicted request sees that its sender was dropped.
                 admission
@@ -132,10 +167,14 @@
                     .retain(|(queued_ticket, _)| Some(*queued_ticket) != evicted);
                 admission.queued.push((ticket, sender));
             }
+            admission.drop_hopeless();
             decision
         });
+        if is_by_cost && decision != Admission::Admit {
+            self.log_admission(service, &limits, need, &decision);
+        }
         let ticket = match decision {
-            Admission::Admit => return Ok(self.new_permit(service)),
+            Admission::Admit => return Ok(self.new_permit(service, is_by_cost)),
             Admission::Refuse { retry_after } => return Err(Refusal::Full { retry_after }),
             Admission::QueueFull { retry_after } => return Err(Refusal::QueueFull { retry_after }),
             Admission::Wait { ticket, .. } => ticket,
@@ -143,6 +182,7 @@
         let mut queued = QueuedRequest {
             edge: Rc::clone(self),
             service: service.clone(),
+            is_by_cost,
             ticket,
             notified,
             has_permit: false,
@@ -150,36 +190,100 @@
         let notification = tokio::time::timeout(max_wait, &mut queued.notified).await;
         if matches!(notification, Ok(Ok(()))) {
             queued.has_permit = true;
-            return Ok(self.new_permit(service));
+            return Ok(self.new_permit(service, is_by_cost));
+        }
+        if is_by_cost {
+            self.log_dropped(service, need, now);
         }
         Err(Refusal::Full {
             retry_after: max_wait.max(MIN_RETRY_AFTER),
         })
     }
 
-    fn new_permit(self: &Rc<Self>, service: &ServiceId) -> Permit {
+    /// Logs the inputs of a decision that did not admit a request at once.
+    fn log_admission(
+        &self,
+        service: &ServiceId,
+        limits: &GateLimits,
+        need: &RequestNeed,
+        decision: &Admission,
+    ) {
+        let (in_flight, queued) = self.admission.with(service, |admission| {
+            let gate = &admission.cost_gate;
+            (gate.in_flight() as u64, gate.queued() as u64)
+        });
+        let now = self.now();
+        let (decision, evicted) = match decision {
+            Admission::Wait { evicted, .. } => ("queued", evicted.is_some()),
+            _ => ("refused", false),
+        };
+        let rank = need.priority.rank;
+        self.metrics.count_delayed(decision, rank);
+        log::info!(
+            service:%,
+            decision,
+            evicted,
+            rank,
+            workspace:% = need.priority.workspace,
+            due_in_ms = millis(need.due_at.saturating_sub(now)),
+            deadline_in_ms = millis(need.deadline.saturating_sub(now)),
+            answer_time_ms = millis(need.answer_time),
+            work_percent = need.work_percent,
+            in_flight,
+            limit = limits.in_flight as u64,
+            queued;
+            "room_exhausted"
+        );
+    }
+
+    /// Logs that a queued request was dropped because it can't be answered before its deadline, or
+    /// that a request whose refusal costs more took its place.
+    fn log_dropped(&self, service: &ServiceId, need: &RequestNeed, queued_at: Moment) {
+        let now = self.now();
+        let rank = need.priority.rank;
+        self.metrics.count_delayed("dropped", rank);
+        log::info!(
+            service:%,
+            rank,
+            workspace:% = need.priority.workspace,
+            waited_ms = millis(now.saturating_sub(queued_at)),
+            deadline_in_ms = millis(need.deadline.saturating_sub(now)),
+            answer_time_ms = millis(need.answer_time),
+            work_percent = need.work_percent;
+            "queued_request_dropped"
+        );
+    }
+
+    fn new_permit(self: &Rc<Self>, service: &ServiceId, is_by_cost: bool) -> Permit {
         Permit {
             edge: Rc::clone(self),
             service: service.clone(),
+            is_by_cost,
             since: self.now(),
         }
     }
 
-    /// Limits on requests of a service, in flight and queued. A service that is not configured gets
-    /// one in flight and an unlimited queue.
+    /// Limits on requests of a service, in flight and queued, and whether they follow the room of its
+    /// targets. A service that is not configured gets one in flight and an unlimited queue.
     #[must_use]
-    fn gate_limits(&self, service: &ServiceId) -> GateLimits {
+    fn gate_limits(&self, service: &ServiceId) -> (GateLimits, bool) {
         let state = self.state.borrow();
         let Some(known) = state.service(service) else {
-            return GateLimits {
+            let limits = GateLimits {
                 in_flight: 1,
                 reserved: 0,
                 queue_limit: usize::MAX,
             };
+            return (limits, false);
         };
         let now = self.now();
         let in_use = state.directory.in_use(service);
         let reachable = in_use.filter(|target| target.is_available(now));
-        gate_limits(&known, reachable, &state.traffic_share)
+        let share = &state.traffic_share;
+        if known.requests_per_target.is_some() {
+            return (gate_limits(&known, reachable, share), false);
+        }
+        let rooms = &state.target_rooms;
+        (room_limits(now, &known, reachable, share, rooms), true)
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,7 +8,8 @@
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
-    Allocators, Evidence, LimitNotice, Overloads, ReturnSchedule, StopPlan, Suspects, Workspaces,
+    Allocators, AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, ReturnSchedule,
+    StopPlan, Suspects, TargetRooms, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
@@ -127,6 +128,10 @@
     pub allocators: Allocators,
     /// Services whose targets take fewer requests than they get.
     pub overloads: Overloads,
+    /// Room of the targets that are under pressure.
+    pub target_rooms: TargetRooms,
+    /// Answer times of the routes.
+    pub answer_times: AnswerTimes,
     /// Times at which callers return that were refused for limits.
     pub returns: ReturnSchedule,
     /// Targets at which requests were given up.
@@ -203,6 +208,8 @@
             directory: Directory::default(),
             allocators: Allocators::default(),
             overloads: Overloads::default(),
+            target_rooms: TargetRooms::default(),
+            answer_times: AnswerTimes::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
             mirror: Mirror::default(),
@@ -433,6 +440,16 @@
         }
     }
 
+    /// Records what an answer shows about the room of its target.
+    pub fn target_showed_room(&self, target: TargetKey, timing: AnswerTiming) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        if let Some(known) = state.directory.get(target) {
+            let in_flight = known.load.own_requests();
+            state.target_rooms.record(now, target, in_flight, timing);
+        }
+    }
+
     /// Records that bytes from a target arrived.
     pub fn target_heard(&self, target: TargetKey) {
         let now = self.now();
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,6 +22,7 @@
     event_gap: Histogram<f64>,
     load_age: Histogram<f64>,
     requests_refused: Counter<u64>,
+    requests_delayed: Counter<u64>,
     requests_failed: Counter<u64>,
     attempts_failed: Counter<u64>,
     requests_limited: Counter<u64>,
@@ -82,6 +83,10 @@
                 "Age of a target's load report when the target is chosen",
             ),
             requests_refused: counter("lapismoor.request.refused", "Requests refused, by reason"),
+            requests_delayed: counter(
+                "lapismoor.request.delayed",
+                "Requests for which a service had no room at once, by decision and rank",
+            ),
             requests_failed: counter("lapismoor.request.failed", "Requests failed, by cause"),
             attempts_failed: counter("lapismoor.attempt.failed", "Attempts failed, by cause"),
             requests_limited: counter(
@@ -165,6 +170,15 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request for which its service had no room at once.
+    pub fn count_delayed(&self, decision: &'static str, rank: u8) {
+        let labels = [
+            KeyValue::new("decision", decision),
+            KeyValue::new("rank", i64::from(rank)),
+        ];
+        self.requests_delayed.add(1, &labels);
+    }
+
     /// Counts a failed request.
     pub fn count_failed(&self, cause: &'static str) {
         self.requests_failed
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{RequestHead, ResponseHead, StatusCode, header};
 use bytes::{Bytes, BytesMut};
-use lapismoor_core::admission::Belief;
+use lapismoor_core::admission::{AnswerTiming, Belief};
 use lapismoor_core::ids::{TargetId, TargetKey};
 use lapismoor_core::retry::{AnswerKind, AttemptEnd, classify_answer};
 use lapismoor_core::routing::Choice;
@@ -248,6 +248,7 @@
     let status = answer.head.status.as_u16();
     let is_signed = metadata.is_signed && !is_encoded;
     let kind = classify_answer(status, is_signed, metadata.is_not_run);
+    report_room(job, &answer, &kind);
     let is_failure = !matches!(kind, AnswerKind::Success | AnswerKind::Final);
     edge.target_answered(answer.target, is_failure);
     match kind {
@@ -287,6 +288,31 @@
     }
 }
 
+/// Records what the head of an answer shows about the room of its target. Late answers of engines
+/// show none: their time depends on the prompt.
+fn report_room(job: &Job, answer: &Answer, kind: &AnswerKind) {
+    let edge = &job.edge;
+    let route = &job.request.route;
+    let timing = match kind {
+        AnswerKind::Rejected if answer.head.status == StatusCode::SERVICE_UNAVAILABLE => {
+            AnswerTiming::Rejected
+        }
+        AnswerKind::Success => {
+            let sent_at = job.sent_at(answer.target).unwrap_or(edge.now());
+            let took = edge.now().saturating_sub(sent_at);
+            let answer_times = &mut edge.state.borrow_mut().answer_times;
+            answer_times.record(&route.name, took, job.work());
+            if took > route.latency_objective && !route.is_stream() {
+                AnswerTiming::Late
+            } else {
+                AnswerTiming::OnTime
+            }
+        }
+        _ => return,
+    };
+    edge.target_showed_room(answer.target, timing);
+}
+
 impl Answer {
     /// Closes the connection, so that the target stops its work.
     pub(super) fn close(&mut self) {
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
+use lapismoor_core::admission::cost::USUAL_WORK_PERCENT;
 use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
-use lapismoor_core::admission::{Belief, Priority, Refusal, SuspectKind};
+use lapismoor_core::admission::{Belief, Priority, Refusal, RequestNeed, SuspectKind};
 use lapismoor_core::ids::{Fingerprint, ServiceId, StreamKey, TargetKey, hash_parts, stream_key};
 use lapismoor_core::membership::{KnownTarget, TargetIncarnation};
 use lapismoor_core::retry::{
@@ -35,6 +36,9 @@
 const MIN_REPLACEMENT_TIME: Duration = Duration::from_secs(1);
 /// Time until a request may find room that was not tried in favour of others.
 const OVERLOAD_WAIT: Duration = Duration::from_millis(500);
+/// Part of the latency objective that an answer is expected to take before one of its route was
+/// received: one half.
+const UNKNOWN_ANSWER_PART: u32 = 2;
 /// Number of permits after which a request asks for none.
 const ASKS_NO_PERMIT: usize = usize::MAX;
 /// Time between two looks for a target while there is none.
@@ -156,7 +160,7 @@
         let permit = edge.acquire_permit(PermitRequest {
             service: &self.request.service,
             latency_objective: self.request.route.latency_objective,
-            priority: &self.request.priority,
+            need: self.need(),
             received: self.request.received,
         });
         self.permit = Some(permit.await?);
@@ -165,6 +169,33 @@
         Ok(())
     }
 
+    /// What the request needs, and until when.
+    pub(crate) fn need(&self) -> RequestNeed {
+        let objective = self.request.route.latency_objective;
+        let route = &self.request.route.name;
+        let expected = {
+            let state = self.edge.state.borrow();
+            state.answer_times.expected(route, self.work())
+        };
+        let (answer_time, work_percent) = expected.map_or(
+            (objective / UNKNOWN_ANSWER_PART, USUAL_WORK_PERCENT),
+            |expected| (expected.time, expected.work_percent),
+        );
+        RequestNeed {
+            priority: self.request.priority.clone(),
+            due_at: self.request.received.saturating_add(objective),
+            deadline: self.deadline,
+            answer_time,
+            work_percent,
+        }
+    }
+
+    /// Work of the request in units that are comparable within a route: tokens of the prompt.
+    pub(crate) fn work(&self) -> u32 {
+        let tokens = self.request.envelope.parts.iter().map(|part| part.tokens);
+        tokens.fold(0, u32::saturating_add).max(1)
+    }
+
     /// Time until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.edge.now())
@@ -458,6 +489,15 @@
         self.may_repeat_target.set(failed.may_repeat_target);
     }
 
+    /// When the current attempt was sent to a target.
+    pub(crate) fn sent_at(&self, target: TargetKey) -> Option<Moment> {
+        let in_flight = self.in_flight.borrow();
+        let mut attempts = in_flight.iter();
+        attempts
+            .find(|attempt| attempt.target == target)
+            .map(|attempt| attempt.sent_at)
+    }
+
     fn take_in_flight(&self, target: TargetKey) -> Option<InFlight> {
         let mut in_flight = self.in_flight.borrow_mut();
         let position = in_flight
