--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -149,9 +149,6 @@
             .is_some_and(|target| self.evacuations.has_left(now, &target.entry.domain))
     }
 
-    /// Records that the targets of a failure domain may be cold for `left` from now on.
-    pub fn domain_may_be_cold(&mut self, _now: Moment, _domain: &str, _left: Duration) {}
-
     /// Targets of a service that are not leaving, those of evacuated failure domains included.
     pub fn listed<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownTarget> {
         self.targets.iter().filter(move |target| {
@@ -213,11 +210,13 @@
         }
     }
 
-    /// Records that the targets of a failure domain may be cold for `left` from now on.
-    pub fn domain_may_be_cold(&mut self, now: Moment, domain: &str, left: Duration) {
+    /// Records that the targets of a failure domain may have become cold unseen.
+    pub fn domain_may_be_cold(&mut self, now: Moment, domain: &str) {
         let targets = self.targets.iter_mut();
         for target in targets.filter(|target| target.entry.domain == domain) {
-            target.warmth.record_possibly_cold(now, left);
+            if let Some(limit) = target.cold_limit {
+                target.warmth.record_possibly_cold(now, limit.start);
+            }
         }
     }
 
--- a/crates/core/tests/common/overload.rs
+++ b/crates/core/tests/common/overload.rs
@@ -197,6 +197,7 @@
                 has_engines: false,
                 requests_per_target: None,
                 queue_limit: None,
+                cold: None,
                 load_bound: None,
             },
             rng: ChaCha8Rng::seed_from_u64(load.seed),
--- a/crates/edge/src/store/evacuations.rs
+++ b/crates/edge/src/store/evacuations.rs
@@ -9,9 +9,6 @@
 use crate::context::Edge;
 use crate::millis::millis;
 
-/// Time until the entry of a target that turned cold unseen says so: three heartbeat intervals.
-const COLD_UNSEEN_TIME: Duration = Duration::from_secs(3);
-
 /// Records that a domain is evacuated; the store did not list that as of `not_before`.
 pub(super) fn begin(
     edge: &Edge,
@@ -73,7 +70,7 @@
     lasted: Duration,
     reason: &str,
 ) {
-    directory.domain_may_be_cold(edge.now(), domain, COLD_UNSEEN_TIME);
+    directory.domain_may_be_cold(edge.now(), domain);
     let count = directory.evacuations.domains().len() as u64;
     edge.metrics.evacuated_domains.record(count, &[]);
     let targets = targets_in(directory, domain).count() as u64;
