--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -22,7 +22,7 @@
     Verdict,
 };
 pub use target_limits::{
-    Allocators, LimitChange, LimitNotice, LimitView, Overloads, PermitDecision, Rates, RequestRate,
-    ReturnSchedule,
+    Allocators, LimitChange, LimitNotice, LimitView, Overloads, PermitDecision, PermitDesk, Rates,
+    RequestRate, ReturnSchedule,
 };
 pub use workspaces::Workspaces;
--- a/crates/core/src/admission/target_limits/messages.rs
+++ b/crates/core/src/admission/target_limits/messages.rs
@@ -76,7 +76,7 @@
     /// neither a limit nor that the target is cold.
     #[must_use]
     pub fn of(now: Moment, target: &KnownTarget) -> Option<Self> {
-        let cold = Self::of_cold(now, target, Moment::ZERO);
+        let cold = Self::of_cold(now, target);
         let Some(notice) = target.limit.notice() else {
             return cold;
         };
@@ -90,11 +90,11 @@
         }
     }
 
-    /// That a target is cold by its own word, if this daemon has learned it after `since`.
+    /// That a target is cold by its own word; `None` if it is not.
     #[must_use]
-    pub fn of_cold(now: Moment, target: &KnownTarget, since: Moment) -> Option<Self> {
+    pub fn of_cold(now: Moment, target: &KnownTarget) -> Option<Self> {
         target.cold_limit?;
-        let (left, age) = target.warmth.changed_since(now, since)?;
+        let (left, age) = target.warmth.told(now)?;
         Some(Self::told_cold(target.hash, left, age))
     }
 
--- a/crates/core/src/admission/target_limits/mod.rs
+++ b/crates/core/src/admission/target_limits/mod.rs
@@ -10,6 +10,7 @@
 //! adds half of the rate at most where a third daemon takes itself for one of the two.
 
 mod allocator;
+mod decision;
 mod messages;
 mod notice;
 mod overload;
@@ -21,6 +22,7 @@
     Allocators, LIMIT_WINDOW, PermitDecision, Rates, asks_per_permit, is_allocator,
     is_cold_allocator, permit_sources,
 };
+pub use decision::PermitDesk;
 pub use messages::{PermitAnswer, PermitRequest, PermitResult, TargetLimit};
 pub use notice::{LimitChange, LimitNotice, RequestRate};
 pub use overload::Overloads;
--- a/crates/core/src/membership/warmth.rs
+++ b/crates/core/src/membership/warmth.rs
@@ -111,16 +111,21 @@
     }
 
     /// Time for which the target stays cold by its own word, and the age of that word; `None` if it
-    /// is warm, or if this daemon has known it since `since` or before.
+    /// is warm.
     #[must_use]
-    pub fn changed_since(&self, now: Moment, since: Moment) -> Option<(Duration, Duration)> {
-        let is_news = self.is_told_cold(now) && self.changed_at > since;
-        is_news.then(|| {
+    pub fn told(&self, now: Moment) -> Option<(Duration, Duration)> {
+        self.is_told_cold(now).then(|| {
             let left = self.told_until.saturating_sub(now);
             (left, now.saturating_sub(self.told_at))
         })
     }
 
+    /// Whether this daemon has learned after `since` that the target is cold, or for longer.
+    #[must_use]
+    pub fn has_changed_since(&self, since: Moment) -> bool {
+        self.changed_at > since
+    }
+
     /// Time since the target last became warm after it was cold by its own word; zero while it is
     /// cold, `None` if it never was.
     #[must_use]
--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -214,7 +214,8 @@
     });
     let mut limits: Vec<TargetLimit> = changed.collect();
     let targets = directory.targets().iter();
-    limits.extend(targets.filter_map(|target| TargetLimit::of_cold(now, target, since)));
+    let changed = targets.filter(|target| target.warmth.has_changed_since(since));
+    limits.extend(changed.filter_map(|target| TargetLimit::of_cold(now, target)));
     limits.sort_by_key(|limit| limit.age);
     limits.truncate(MAX_LIMITS);
     limits
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,7 +8,7 @@
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
-    Allocators, Evidence, LimitNotice, Overloads, ReturnSchedule, StopPlan, Suspects, Workspaces,
+    Evidence, LimitNotice, Overloads, PermitDesk, ReturnSchedule, StopPlan, Suspects, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
@@ -123,10 +123,8 @@
     pub suspects: Suspects,
     /// Known targets, with their load and health.
     pub directory: Directory,
-    /// This daemon's part of the permits for targets with a limit.
-    pub allocators: Allocators,
-    /// This daemon's part of the permits for cold targets.
-    pub cold_allocators: Allocators,
+    /// This daemon's part of the permits for targets with a limit and cold ones.
+    pub permits: PermitDesk,
     /// Services whose targets take fewer requests than they get.
     pub overloads: Overloads,
     /// Times at which callers return that were refused for limits.
@@ -203,8 +201,7 @@
             ledger,
             suspects: Suspects::new(incarnation),
             directory: Directory::default(),
-            allocators: Allocators::default(),
-            cold_allocators: Allocators::default(),
+            permits: PermitDesk::default(),
             overloads: Overloads::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -6,10 +6,9 @@
 use actix_web::rt;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::target_limits::{
-    PermitAnswer, PermitRequest, PermitResult, TargetLimit, asks_per_permit, is_allocator,
-    is_cold_allocator, permit_sources,
+    PermitAnswer, PermitRequest, PermitResult, TargetLimit, asks_per_permit, permit_sources,
 };
-use lapismoor_core::admission::{LimitChange, PermitDecision, Priority, Rates, RequestRate};
+use lapismoor_core::admission::{LimitChange, Priority, RequestRate};
 use lapismoor_core::ids::{ServiceId, TargetId, TargetKey};
 use lapismoor_core::membership::{Coldness, DaemonRecord, is_small_fleet};
 use lapismoor_core::routing::fleet_sample::{TargetHash, merge_cold_targets, merge_limits};
@@ -170,40 +169,10 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        let (own, daemons) = (&self.settings.daemon, &state.daemons);
         let known = state.directory.find_by_hash(target);
-        let limit = known.and_then(|known| TargetLimit::of(now, known));
-        let limit = limit.unwrap_or(request.limit);
-        let is_cold = !request.limit.cold_left.is_zero()
-            || known.is_some_and(|known| known.cold_rate(now).is_some());
-        let priority = &request.priority;
-        if is_cold {
-            let cold_limit = known.and_then(|known| known.cold_limit);
-            let cold_limit = cold_limit.filter(|_| is_cold_allocator(target, daemons, own));
-            let Some(cold_limit) = cold_limit else {
-                let result = PermitResult::NotAllocator;
-                return PermitAnswer { result, limit };
-            };
-            let rates = Rates::part_of_cold(cold_limit.rate, daemons);
-            let decision = state.cold_allocators.take(now, target, rates, priority);
-            if let PermitDecision::Denied { wait } = decision {
-                let result = PermitResult::Denied { wait };
-                return PermitAnswer { result, limit };
-            }
-        }
-        let result = match limit.rate {
-            None if is_cold => PermitResult::Granted,
-            None => PermitResult::Unlimited,
-            Some(_) if !is_allocator(target, daemons, own) => PermitResult::NotAllocator,
-            Some(rate) => {
-                let rates = Rates::part_of(rate, daemons);
-                match state.allocators.take(now, target, rates, priority) {
-                    PermitDecision::Granted => PermitResult::Granted,
-                    PermitDecision::Denied { wait } => PermitResult::Denied { wait },
-                }
-            }
-        };
-        PermitAnswer { result, limit }
+        let own = &self.settings.daemon;
+        let permits = &mut state.permits;
+        permits.decide(now, own, &state.daemons, known, request)
     }
 
     /// Merges what another daemon told of cold targets.
@@ -242,7 +211,7 @@
             };
             let notice = known.limit.notice();
             let limit = notice.map(|notice| TargetLimit::told(now, known.hash, &notice));
-            let cold = TargetLimit::of_cold(now, known, Moment::ZERO);
+            let cold = TargetLimit::of_cold(now, known);
             let limits: Vec<TargetLimit> = limit.into_iter().chain(cold).collect();
             let daemons: Vec<DaemonRecord> = if is_small_fleet(&state.daemons) {
                 state.daemons.clone()
@@ -318,11 +287,7 @@
 impl State {
     /// Forgets the permits for targets that other daemons hand out now.
     pub(crate) fn update_allocators(&mut self, now: Moment, own: &str) {
-        let daemons = &self.daemons;
-        self.allocators
-            .retain(now, |target| is_allocator(target, daemons, own));
-        self.cold_allocators
-            .retain(now, |target| is_cold_allocator(target, daemons, own));
+        self.permits.update(now, own, &self.daemons);
     }
 }
 
