--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -469,7 +469,8 @@
     fn update(&mut self, now: Moment, entry: TargetEntry, said_leaving: bool) -> DirectoryChange {
         let is_draining = entry.state == TargetState::Draining || said_leaving;
         self.hash = target_hash(&entry.incarnation());
-        if self.entry.warmup_remaining != entry.warmup_remaining {
+        let is_back = self.standing != Standing::InUse;
+        if is_back || self.entry.warmup_remaining != entry.warmup_remaining {
             self.warmth.record(now, now, entry.warmup_remaining);
         }
         self.entry = entry;
