--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -84,6 +84,15 @@
     Returned,
 }
 
+/// A target has turned cold or warm.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WarmthChange {
+    /// The target.
+    pub target: TargetId,
+    /// For how long it stays cold, and how that is known; `None` if it is warm now.
+    pub cold: Option<(Duration, Coldness)>,
+}
+
 /// Known targets, listed or not.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -171,12 +180,8 @@
         }
     }
 
-    /// Targets that have turned cold or warm since the last call, each with the time for which it
-    /// stays cold and how that is known, and the number of cold ones.
-    pub fn warmth_changes(
-        &mut self,
-        now: Moment,
-    ) -> (Vec<(TargetId, Option<(Duration, Coldness)>)>, usize) {
+    /// Targets that have turned cold or warm since the last call, and the number of cold ones.
+    pub fn warmth_changes(&mut self, now: Moment) -> (Vec<WarmthChange>, usize) {
         let mut changes = Vec::new();
         let mut cold_targets = 0;
         for target in &mut self.targets {
@@ -185,8 +190,10 @@
             if cold.is_some() != target.is_reported_cold {
                 target.is_reported_cold = cold.is_some();
                 let left = target.cold_left(now);
-                let change = cold.map(|(_, coldness)| (left, coldness));
-                changes.push((target.entry.id.clone(), change));
+                changes.push(WarmthChange {
+                    target: target.entry.id.clone(),
+                    cold: cold.map(|(_, coldness)| (left, coldness)),
+                });
             }
         }
         (changes, cold_targets)
--- a/crates/core/tests/cold_targets.rs
+++ b/crates/core/tests/cold_targets.rs
@@ -487,7 +487,7 @@
 #[test]
 fn urgent_requests_get_the_permits_of_cold_targets_first() {
     let mut directory = directory();
-    directory.apply(Moment::ZERO, entry(0, "east", Duration::from_secs(60)));
+    directory.apply(Moment::ZERO, entry(0, "east", Duration::from_mins(1)));
     let target = directory.find("i-0").expect("known");
     let mut desk = PermitDesk::default();
     let mut rng = ChaCha8Rng::seed_from_u64(4);
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -582,8 +582,9 @@
     pub(crate) fn report_warmth(&self) {
         let now = self.now();
         let (changes, cold_targets) = self.state.borrow_mut().directory.warmth_changes(now);
-        for (target, cold) in &changes {
-            match cold {
+        for change in &changes {
+            let target = &change.target;
+            match &change.cold {
                 Some((left, source)) => {
                     log::info!(target:%, left_ms = millis(*left), source:?; "target_cold");
                 }
