--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -86,6 +86,15 @@
     Returned,
 }
 
+/// A target has turned cold or warm.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WarmthChange {
+    /// The target.
+    pub target: TargetId,
+    /// For how long it stays cold, and how that is known; `None` if it is warm now.
+    pub cold: Option<(Duration, Coldness)>,
+}
+
 /// Known targets, listed or not.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -220,12 +229,8 @@
         }
     }
 
-    /// Targets that have turned cold or warm since the last call, each with the time for which it
-    /// stays cold and how that is known, and the number of cold ones.
-    pub fn warmth_changes(
-        &mut self,
-        now: Moment,
-    ) -> (Vec<(TargetId, Option<(Duration, Coldness)>)>, usize) {
+    /// Targets that have turned cold or warm since the last call, and the number of cold ones.
+    pub fn warmth_changes(&mut self, now: Moment) -> (Vec<WarmthChange>, usize) {
         let mut changes = Vec::new();
         let mut cold_targets = 0;
         for target in &mut self.targets {
@@ -234,8 +239,10 @@
             if cold.is_some() != target.is_reported_cold {
                 target.is_reported_cold = cold.is_some();
                 let left = target.cold_left(now);
-                let change = cold.map(|(_, coldness)| (left, coldness));
-                changes.push((target.entry.id.clone(), change));
+                changes.push(WarmthChange {
+                    target: target.entry.id.clone(),
+                    cold: cold.map(|(_, coldness)| (left, coldness)),
+                });
             }
         }
         (changes, cold_targets)
@@ -517,7 +524,8 @@
     fn update(&mut self, now: Moment, entry: TargetEntry, said_leaving: bool) -> DirectoryChange {
         let is_draining = entry.state == TargetState::Draining || said_leaving;
         self.hash = target_hash(&entry.incarnation());
-        if self.entry.warmup_remaining != entry.warmup_remaining {
+        let is_back = self.standing != Standing::InUse;
+        if is_back || self.entry.warmup_remaining != entry.warmup_remaining {
             self.warmth.record(now, now, entry.warmup_remaining);
         }
         self.entry = entry;
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,7 +8,7 @@
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
-    Allocators, AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, ReturnSchedule,
+    AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, PermitDesk, ReturnSchedule,
     StopPlan, Suspects, TargetRooms, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
@@ -125,10 +125,8 @@
     pub suspects: Suspects,
     /// Known targets, with their load and health.
     pub directory: Directory,
-    /// This daemon's part of the permits for targets with a limit.
-    pub allocators: Allocators,
-    /// This daemon's part of the permits for cold targets.
-    pub cold_allocators: Allocators,
+    /// This daemon's part of the permits for targets with a limit and cold ones.
+    pub permits: PermitDesk,
     /// Services whose targets take fewer requests than they get.
     pub overloads: Overloads,
     /// Room of the targets that are under pressure.
@@ -209,8 +207,7 @@
             ledger,
             suspects: Suspects::new(incarnation),
             directory: Directory::new(settings.regions.clone(), settings.limits.evacuate_within),
-            allocators: Allocators::default(),
-            cold_allocators: Allocators::default(),
+            permits: PermitDesk::default(),
             overloads: Overloads::default(),
             target_rooms: TargetRooms::default(),
             answer_times: AnswerTimes::default(),
@@ -642,8 +639,9 @@
     pub(crate) fn report_warmth(&self) {
         let now = self.now();
         let (changes, cold_targets) = self.state.borrow_mut().directory.warmth_changes(now);
-        for (target, cold) in &changes {
-            match cold {
+        for change in &changes {
+            let target = &change.target;
+            match &change.cold {
                 Some((left, source)) => {
                     log::info!(target:%, left_ms = millis(*left), source:?; "target_cold");
                 }
