--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -8,13 +8,13 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::Priority;
 use lapismoor_core::ids::TargetKey;
-use lapismoor_core::membership::{Directory, TargetEntry, TargetState};
+use lapismoor_core::membership::{Directory, LearnedFrom, TargetEntry, TargetState};
 use lapismoor_core::routing::fleet_sample::{
     COLLECTOR_INTERVAL, EXCHANGE_INTERVAL, apply_sample, collected_observations, fleet_sample,
     merge_observations, take_observations,
 };
 use lapismoor_core::routing::{
-    AffinityPreference, Chooser, Homes, LoadBound, Observations, PromptPart, ReportedLoad,
+    AffinityPreference, Chooser, Homes, LoadBound, Observations, PromptPart, Regions, ReportedLoad,
     TargetQuery,
 };
 use lapismoor_core::stream::VersionBinding;
@@ -30,6 +30,8 @@
 /// Length of the windows in which the load bound is judged.
 const WINDOW: Duration = Duration::from_secs(5);
 
+/// Time from the acknowledgement of an evacuation after which nothing reaches the domain.
+pub const EVACUATE_WITHIN: Duration = Duration::from_secs(5);
 /// Number of failure domains.
 const DOMAINS: usize = 5;
 /// Daemons of a fleet of this size or less don't exchange observations.
@@ -98,6 +100,8 @@
     pub repeated_reads: usize,
     /// Reads of a part that no target had read before.
     pub first_reads: usize,
+    /// Time of each request to a failure domain whose evacuation had been acknowledged.
+    pub to_evacuated: Vec<Moment>,
 }
 
 impl Outcome {
@@ -154,6 +158,17 @@
         daemon: usize,
         target: TargetKey,
     },
+    /// The store acknowledges the evacuation of a failure domain.
+    Evacuate {
+        domain: u32,
+    },
+    /// A daemon learns of an evacuation. Its copy was `age_ms` old before.
+    Learn {
+        daemon: usize,
+        domain: u32,
+        age_ms: u64,
+        is_starting: bool,
+    },
     /// A daemon sends its observations to a collector.
     Report {
         daemon: usize,
@@ -173,6 +188,8 @@
     events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
     event_count: u64,
     rng: ChaCha8Rng,
+    /// Failure domains whose evacuation has been acknowledged.
+    evacuated: Vec<u32>,
 }
 
 impl Fleet {
@@ -193,9 +210,47 @@
             events: BinaryHeap::new(),
             event_count: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            evacuated: Vec::new(),
+        }
+    }
+
+    /// Evacuates a failure domain at `at`. Daemons follow within `spread`; every tenth one is cut off
+    /// for a while, and follows `cut_off` later.
+    pub fn evacuate(&mut self, at: Moment, domain: u32, spread: Duration, cut_off: Duration) {
+        self.schedule(at, Event::Evacuate { domain });
+        for daemon in 0..self.daemons.len() {
+            let mut delay = spread.mul_f64(self.rng.random());
+            if daemon % 10 == 9 {
+                delay += cut_off;
+            }
+            // The copy was last confirmed shortly before the evacuation.
+            let age = delay + spread.mul_f64(self.rng.random());
+            let event = Event::Learn {
+                daemon,
+                domain,
+                age_ms: u64::try_from(age.as_millis()).expect("short"),
+                is_starting: daemon % 10 == 5,
+            };
+            self.schedule(at + delay, event);
         }
     }
 
+    fn learn(&mut self, now: Moment, number: usize, evacuated: u32, age: Duration, starts: bool) {
+        let learned_from = if starts {
+            LearnedFrom::FirstList
+        } else {
+            LearnedFrom::Change
+        };
+        let evacuations = &mut self.daemons[number].directory.evacuations;
+        let not_before = now.saturating_sub(age);
+        evacuations.begin(now, &domain(evacuated), learned_from, not_before);
+    }
+
+    fn is_evacuated(&self, target: usize) -> bool {
+        let domain = u32::try_from(target).expect("small") % 5;
+        self.evacuated.contains(&domain)
+    }
+
     /// Plays the traffic.
     pub fn run(&mut self, traffic: &Traffic) -> Outcome {
         let mut outcome = Outcome::default();
@@ -209,6 +264,19 @@
                     self.schedule(now + Duration::from_secs_f64(gap_s), Event::Arrival);
                     self.arrive(now, traffic, &mut outcome, &mut read_anywhere);
                 }
+                Event::Evacuate { domain } => self.evacuated.push(domain),
+                Event::Learn {
+                    daemon,
+                    domain,
+                    age_ms,
+                    is_starting,
+                } => self.learn(
+                    now,
+                    daemon,
+                    domain,
+                    Duration::from_millis(age_ms),
+                    is_starting,
+                ),
                 Event::Report { daemon, collector } if now < traffic.length => {
                     let since = now.saturating_sub(EXCHANGE_INTERVAL);
                     let own = &mut self.daemons[daemon];
@@ -247,7 +315,11 @@
         let daemon = self.rng.random_range(0..self.daemons.len());
         let target = self.choose(now, daemon, part, kind.part_tokens);
         let total: u32 = self.targets.iter().map(|target| target.in_flight).sum();
-        let mean = f64::from(total) / ratio(self.targets.len(), 1);
+        let remaining = (0..self.targets.len()).filter(|target| !self.is_evacuated(*target));
+        let mean = f64::from(total) / ratio(remaining.count(), 1);
+        if self.is_evacuated(usize::try_from(target).expect("small") - 1) {
+            outcome.to_evacuated.push(now);
+        }
         let at_target = self.target(target);
         let is_over = f64::from(at_target.in_flight) > 2.0 * mean + 3.0;
         outcome.arrivals.push((now, is_over));
@@ -379,7 +451,7 @@
 
 /// Lists the targets in the same order at each daemon, so that their keys are equal.
 fn directory(targets: u16) -> Directory {
-    let mut directory = Directory::default();
+    let mut directory = Directory::new(Regions::default(), EVACUATE_WITHIN);
     for number in 0..targets {
         let entry = TargetEntry {
             id: format!("i-{number}").into(),
