--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,4 +1,6 @@
 //! Helpers shared by tests of decisions.
 
+#![allow(dead_code)]
+
 pub mod fleet;
 pub mod overload;
