--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -9,6 +9,7 @@
 pub mod rate_limit;
 pub mod refusal;
 pub mod room;
+pub mod shedding;
 pub mod startup;
 pub mod stop_plan;
 pub mod suspects;
@@ -23,6 +24,7 @@
 pub use rate_limit::RateLimit;
 pub use refusal::Refusal;
 pub use room::{AnswerTiming, TargetRooms};
+pub use shedding::Shedding;
 pub use startup::wait_for_configuration;
 pub use stop_plan::{StopPhase, StopPlan};
 pub use suspects::{
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -41,6 +41,8 @@
     /// Decides the order in the queue.
     pub need: RequestNeed,
     pub received: Moment,
+    /// Differs between requests; decides which of a rank are sent while targets reject some.
+    pub hash: u64,
 }
 
 /// Permit for one request in flight. Dropping it admits queued requests.
@@ -147,6 +149,11 @@
         let now = self.now();
         let (limits, is_by_cost) = self.gate_limits(service);
         let need = &request.need;
+        if is_by_cost && !self.is_sent_under_pressure(service, need, request.hash) {
+            let retry_after = MIN_RETRY_AFTER;
+            self.log_admission(service, &limits, need, "turned_away", false);
+            return Err(Refusal::Full { retry_after });
+        }
         let max_wait = if is_by_cost {
             need.latest_start().saturating_sub(now)
         } else {
@@ -171,7 +178,11 @@
             decision
         });
         if is_by_cost && decision != Admission::Admit {
-            self.log_admission(service, &limits, need, &decision);
+            let (name, has_evicted) = match &decision {
+                Admission::Wait { evicted, .. } => ("queued", evicted.is_some()),
+                _ => ("refused", false),
+            };
+            self.log_admission(service, &limits, need, name, has_evicted);
         }
         let ticket = match decision {
             Admission::Admit => return Ok(self.new_permit(service, is_by_cost)),
@@ -200,29 +211,36 @@
         })
     }
 
+    /// Whether a request is sent while targets reject others, in favour of which less urgent ones are
+    /// turned away.
+    #[expect(clippy::cast_precision_loss)]
+    fn is_sent_under_pressure(&self, service: &ServiceId, need: &RequestNeed, hash: u64) -> bool {
+        let now = self.now();
+        let draw = hash as f64 / u64::MAX as f64;
+        let shedding = &mut self.state.borrow_mut().shedding;
+        shedding.admit(now, service, need.priority.rank, draw)
+    }
+
     /// Logs the inputs of a decision that did not admit a request at once.
     fn log_admission(
         &self,
         service: &ServiceId,
         limits: &GateLimits,
         need: &RequestNeed,
-        decision: &Admission,
+        decision: &'static str,
+        has_evicted: bool,
     ) {
         let (in_flight, queued) = self.admission.with(service, |admission| {
             let gate = &admission.cost_gate;
             (gate.in_flight() as u64, gate.queued() as u64)
         });
         let now = self.now();
-        let (decision, evicted) = match decision {
-            Admission::Wait { evicted, .. } => ("queued", evicted.is_some()),
-            _ => ("refused", false),
-        };
         let rank = need.priority.rank;
         self.metrics.count_delayed(decision, rank);
         log::info!(
             service:%,
             decision,
-            evicted,
+            has_evicted,
             rank,
             workspace:% = need.priority.workspace,
             due_in_ms = millis(need.due_at.saturating_sub(now)),
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -130,6 +130,8 @@
     pub overloads: Overloads,
     /// Room of the targets that are under pressure.
     pub target_rooms: TargetRooms,
+    /// Fractions of the requests that are sent while targets reject some.
+    pub shedding: Shedding,
     /// Answer times of the routes.
     pub answer_times: AnswerTimes,
     /// Times at which callers return that were refused for limits.
@@ -209,6 +211,7 @@
             allocators: Allocators::default(),
             overloads: Overloads::default(),
             target_rooms: TargetRooms::default(),
+            shedding: Shedding::default(),
             answer_times: AnswerTimes::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
@@ -446,6 +449,9 @@
         let state = &mut *self.state.borrow_mut();
         if let Some(known) = state.directory.get(target) {
             let in_flight = known.load.own_requests();
+            let is_on_time = timing == AnswerTiming::OnTime;
+            let service = &known.entry.service;
+            state.shedding.record(now, service, is_on_time);
             state.target_rooms.record(now, target, in_flight, timing);
         }
     }
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -162,6 +162,7 @@
             latency_objective: self.request.route.latency_objective,
             need: self.need(),
             received: self.request.received,
+            hash: request_hash(&self.request.envelope.id),
         });
         self.permit = Some(permit.await?);
         self.queue_wait = edge.now().saturating_sub(started_at);
