--- a/crates/core/src/admission/answer_times.rs
+++ b/crates/core/src/admission/answer_times.rs
@@ -6,16 +6,17 @@
 
 /// Weight of one answer in the moving averages.
 const ANSWER_WEIGHT: f64 = 0.05;
-/// Mean deviations above the mean within which most answers arrive.
-const DEVIATIONS: f64 = 2.0;
-/// Longest answer time that is expected, as a multiple of the route's mean, however much work a
-/// request is.
+/// Weight of an answer that took longer than a quick one.
+const SLOW_ANSWER_WEIGHT: f64 = 0.01;
+/// Weight of an answer that took less.
+const QUICK_ANSWER_WEIGHT: f64 = 0.25;
+/// Greatest work of a request, as a multiple of the route's mean.
 const MAX_WORK_FACTOR: f64 = 4.0;
 
 value! {
     /// What a request is expected to take.
     pub struct ExpectedAnswer {
-        /// Time within which its answer arrives.
+        /// Time that a quick answer takes. Most take longer where requests wait at targets.
         pub time: Duration,
         /// Work, in percent of the average of its route.
         pub work_percent: u32,
@@ -24,10 +25,8 @@
 
 #[derive(Debug, Clone)]
 struct RouteTimes {
-    /// Moving average of the time to an answer.
-    mean_s: f64,
-    /// Moving average of the difference to `mean_s`.
-    deviation_s: f64,
+    /// Time to a quick answer: follows those that take less, and slowly those that take more.
+    quick_s: f64,
     /// Moving average of the work.
     mean_work: f64,
 }
@@ -50,15 +49,17 @@
         match found {
             Ok(position) => {
                 let times = &mut self.routes[position].1;
-                let difference_s = time_s - times.mean_s;
-                times.mean_s += ANSWER_WEIGHT * difference_s;
-                times.deviation_s += ANSWER_WEIGHT * (difference_s.abs() - times.deviation_s);
+                let weight = if time_s < times.quick_s {
+                    QUICK_ANSWER_WEIGHT
+                } else {
+                    SLOW_ANSWER_WEIGHT
+                };
+                times.quick_s += weight * (time_s - times.quick_s);
                 times.mean_work += ANSWER_WEIGHT * (work - times.mean_work);
             }
             Err(position) => {
                 let times = RouteTimes {
-                    mean_s: time_s,
-                    deviation_s: time_s / 2.0,
+                    quick_s: time_s,
                     mean_work: work,
                 };
                 self.routes.insert(position, (route.into(), times));
@@ -77,10 +78,8 @@
         let times = &self.routes[found.ok()?].1;
         let work_factor = f64::from(work.max(1)) / times.mean_work;
         let work_factor = work_factor.clamp(1.0 / MAX_WORK_FACTOR, MAX_WORK_FACTOR);
-        // Small requests wait at targets as long as large ones.
-        let mean_s = times.mean_s * work_factor.max(1.0);
         Some(ExpectedAnswer {
-            time: Duration::from_secs_f64(mean_s + DEVIATIONS * times.deviation_s),
+            time: Duration::from_secs_f64(times.quick_s),
             work_percent: (work_factor * 100.0) as u32,
         })
     }
--- a/crates/core/src/admission/cost.rs
+++ b/crates/core/src/admission/cost.rs
@@ -25,8 +25,7 @@
         pub due_at: Moment,
         /// Until when its caller waits.
         pub deadline: Moment,
-        /// Time from its start within which the part of the answer that has to be on time is expected
-        /// to arrive.
+        /// Time from its start to the part of the answer that has to be on time, if that is quick.
         pub answer_time: Duration,
         /// Work that it takes from others, in percent of the average of its service.
         pub work_percent: u32,
--- a/crates/core/src/admission/room.rs
+++ b/crates/core/src/admission/room.rs
@@ -15,6 +15,8 @@
 const DECREASE_FACTOR: f64 = 0.75;
 /// Increase of a target's requests with as many answers on time as it has requests.
 const INCREASE: f64 = 1.0;
+/// Part of the latency objective that an answer may take the target, in percent.
+const MAX_ANSWER_PERCENT: u32 = 75;
 /// Time between two decreases. Requests sent before the first one may still be rejected.
 const DECREASE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the last rejected or late answer until a target is no longer limited.
@@ -23,15 +25,28 @@
 value! {
     /// What an answer shows about the room of its target.
     pub enum AnswerTiming {
-        /// It arrived within the latency objective.
+        /// It arrived well within the latency objective.
         OnTime,
-        /// It took the target longer than the latency objective.
+        /// It took the target too long.
         Late,
         /// The target had no room for the request.
         Rejected,
     }
 }
 
+impl AnswerTiming {
+    /// What an answer shows that took the target `took`. One that takes most of its latency
+    /// objective leaves nothing for the wait before it.
+    #[must_use]
+    pub fn of_answer(took: Duration, latency_objective: Duration) -> Self {
+        if took > latency_objective * MAX_ANSWER_PERCENT / 100 {
+            Self::Late
+        } else {
+            Self::OnTime
+        }
+    }
+}
+
 /// Room of a target that is under pressure.
 #[derive(Debug, Clone)]
 struct TargetRoom {
--- a/crates/core/tests/cost_to_callers.rs
+++ b/crates/core/tests/cost_to_callers.rs
@@ -245,8 +245,8 @@
         };
         let next = waiting.remove(position);
         let prospect = next.need.prospect(now);
-        worth += prospect.worth_percent();
         on_time += usize::from(prospect == Prospect::OnTime);
+        worth += prospect.worth_percent();
         now += next.work;
     }
 }
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -9,7 +9,7 @@
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
     Allocators, AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, ReturnSchedule,
-    StopPlan, Suspects, TargetRooms, Workspaces,
+    Shedding, StopPlan, Suspects, TargetRooms, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -302,10 +302,10 @@
             let took = edge.now().saturating_sub(sent_at);
             let answer_times = &mut edge.state.borrow_mut().answer_times;
             answer_times.record(&route.name, took, job.work());
-            if took > route.latency_objective && !route.is_stream() {
-                AnswerTiming::Late
-            } else {
+            if route.is_stream() {
                 AnswerTiming::OnTime
+            } else {
+                AnswerTiming::of_answer(took, route.latency_objective)
             }
         }
         _ => return,
