--- a/crates/core/src/admission/answer_times.rs
+++ b/crates/core/src/admission/answer_times.rs
@@ -16,8 +16,10 @@
 value! {
     /// What a request is expected to take.
     pub struct ExpectedAnswer {
+        /// Time within which most answers arrive.
+        pub usual_time: Duration,
         /// Time that a quick answer takes. Most take longer where requests wait at targets.
-        pub time: Duration,
+        pub quick_time: Duration,
         /// Work, in percent of the average of its route.
         pub work_percent: u32,
     }
@@ -27,6 +29,10 @@
 struct RouteTimes {
     /// Time to a quick answer: follows those that take less, and slowly those that take more.
     quick_s: f64,
+    /// Moving average of the time to an answer.
+    mean_s: f64,
+    /// Moving average of the difference to `mean_s`.
+    deviation_s: f64,
     /// Moving average of the work.
     mean_work: f64,
 }
@@ -55,11 +61,16 @@
                     SLOW_ANSWER_WEIGHT
                 };
                 times.quick_s += weight * (time_s - times.quick_s);
+                let difference_s = time_s - times.mean_s;
+                times.mean_s += ANSWER_WEIGHT * difference_s;
+                times.deviation_s += ANSWER_WEIGHT * (difference_s.abs() - times.deviation_s);
                 times.mean_work += ANSWER_WEIGHT * (work - times.mean_work);
             }
             Err(position) => {
                 let times = RouteTimes {
                     quick_s: time_s,
+                    mean_s: time_s,
+                    deviation_s: 0.0,
                     mean_work: work,
                 };
                 self.routes.insert(position, (route.into(), times));
@@ -79,7 +90,8 @@
         let work_factor = f64::from(work.max(1)) / times.mean_work;
         let work_factor = work_factor.clamp(1.0 / MAX_WORK_FACTOR, MAX_WORK_FACTOR);
         Some(ExpectedAnswer {
-            time: Duration::from_secs_f64(times.quick_s),
+            usual_time: Duration::from_secs_f64(times.mean_s + times.deviation_s),
+            quick_time: Duration::from_secs_f64(times.quick_s),
             work_percent: (work_factor * 100.0) as u32,
         })
     }
--- a/crates/core/src/admission/cost.rs
+++ b/crates/core/src/admission/cost.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::admission::Priority;
+use crate::admission::answer_times::ExpectedAnswer;
 use crate::clock::Moment;
 
 /// Worth of a late answer, in percent of one on time. Configurations do not state it. Any share
@@ -25,8 +26,11 @@
         pub due_at: Moment,
         /// Until when its caller waits.
         pub deadline: Moment,
-        /// Time from its start to the part of the answer that has to be on time, if that is quick.
+        /// Time from its start within which the part of the answer that has to be on time usually
+        /// arrives.
         pub answer_time: Duration,
+        /// The same if it is quick.
+        pub quick_answer_time: Duration,
         /// Work that it takes from others, in percent of the average of its service.
         pub work_percent: u32,
     }
@@ -68,6 +72,28 @@
         }
     }
 
+    /// What a request needs that is received at `received`. Whether it can be on time is judged by at
+    /// most half of its objective: answer times grow with the load, and a request that is taken for
+    /// late goes behind less urgent ones.
+    #[must_use]
+    pub fn new(
+        priority: Priority,
+        received: Moment,
+        latency_objective: Duration,
+        deadline: Moment,
+        expected: Option<&ExpectedAnswer>,
+    ) -> Self {
+        let half = latency_objective / 2;
+        Self {
+            priority,
+            due_at: received.saturating_add(latency_objective),
+            deadline,
+            answer_time: expected.map_or(half, |expected| expected.usual_time.min(half)),
+            quick_answer_time: expected.map_or(Duration::ZERO, |expected| expected.quick_time),
+            work_percent: expected.map_or(USUAL_WORK_PERCENT, |expected| expected.work_percent),
+        }
+    }
+
     /// Last moment at which the request can start and still be answered on time.
     #[must_use]
     pub fn latest_on_time_start(&self) -> Moment {
@@ -77,7 +103,7 @@
     /// Last moment at which the request can start and still be answered before its deadline.
     #[must_use]
     pub fn latest_start(&self) -> Moment {
-        self.deadline.saturating_sub(self.answer_time)
+        self.deadline.saturating_sub(self.quick_answer_time)
     }
 
     /// What the caller loses if the request starts `wait` after `now` instead of now, in percent of
--- a/crates/core/src/admission/shedding.rs
+++ b/crates/core/src/admission/shedding.rs
@@ -11,13 +11,16 @@
 use crate::clock::Moment;
 use crate::ids::ServiceId;
 
-/// Time after the last rejection until all requests are sent again.
+/// Time after the last rejection from which on the fraction grows without answers. A daemon of a
+/// large fleet gets few.
 const PRESSURE_TTL: Duration = Duration::from_secs(2);
+/// Growth of the fraction per second from then on.
+const RECOVERY_PER_S: f64 = 0.25;
 /// Part by which the fraction of requests that are sent is decreased with a rejection.
 const DECREASE: f64 = 0.1;
-/// Increase of the fraction with an answer on time: about one of ten requests is rejected, so that
-/// more room is noticed.
-const INCREASE: f64 = 0.01;
+/// Increase of the fraction with an answer on time: about one of twenty requests is rejected, so
+/// that more room is noticed.
+const INCREASE: f64 = 0.005;
 /// Least fraction of the requests of any rank that is sent, so that none starves.
 const MIN_FRACTION: f64 = 0.1;
 /// Time constant of the exponential decay of the demand.
@@ -59,7 +62,8 @@
 
 #[derive(Debug, Clone)]
 struct ServiceDemand {
-    /// Fraction of the demand that is sent. Invariant: from [`MIN_FRACTION`] to 1.
+    /// Fraction of the demand that is sent until [`PRESSURE_TTL`] after `pressed_at`. Invariant: from
+    /// [`MIN_FRACTION`] to 1.
     fraction: f64,
     /// When a target last rejected a request or answered late.
     pressed_at: Option<Moment>,
@@ -94,33 +98,35 @@
     }
 
     fn record(&mut self, now: Moment, is_on_time: bool) {
-        if !self.is_pressed(now) {
-            self.fraction = 1.0;
-        }
         if is_on_time {
             self.fraction = (self.fraction + INCREASE).min(1.0);
         } else {
+            self.fraction = (self.fraction_at(now) * (1.0 - DECREASE)).max(MIN_FRACTION);
             self.pressed_at = Some(now);
-            self.fraction = (self.fraction * (1.0 - DECREASE)).max(MIN_FRACTION);
         }
     }
 
-    fn is_pressed(&self, now: Moment) -> bool {
-        self.pressed_at
-            .is_some_and(|at| now.saturating_sub(at) < PRESSURE_TTL)
+    /// Fraction of the demand that is sent.
+    fn fraction_at(&self, now: Moment) -> f64 {
+        let Some(pressed_at) = self.pressed_at else {
+            return 1.0;
+        };
+        let calm = now.saturating_sub(pressed_at + PRESSURE_TTL);
+        (self.fraction + RECOVERY_PER_S * calm.as_secs_f64()).min(1.0)
     }
 
     /// Fraction of the requests of a rank that is sent: what more urgent ones leave.
     fn fraction_of(&self, now: Moment, rank: u8) -> f64 {
         let more_urgent = self.ranks.iter().filter(|(known, _)| *known < rank);
         let more_urgent: f64 = more_urgent.map(|(_, requests)| requests).sum();
-        if !self.is_pressed(now) || more_urgent == 0.0 {
+        let fraction = self.fraction_at(now);
+        if fraction >= 1.0 || more_urgent == 0.0 {
             return 1.0;
         }
         let all: f64 = self.ranks.iter().map(|(_, requests)| requests).sum();
         let own = self.ranks.iter().filter(|(known, _)| *known == rank);
         let own: f64 = own.map(|(_, requests)| requests).sum();
-        let left = self.fraction * all - more_urgent;
+        let left = fraction * all - more_urgent;
         (left / own).clamp(MIN_FRACTION, 1.0)
     }
 }
--- a/crates/core/tests/common/overload.rs
+++ b/crates/core/tests/common/overload.rs
@@ -304,17 +304,13 @@
         let stream = &self.load.streams[request.stream];
         let answer_times = &self.daemons[request.daemon].answer_times;
         let expected = answer_times.expected(stream.name, 1);
-        let (answer_time, work_percent) = expected
-            .map_or((stream.objective / 2, 100), |expected| {
-                (expected.time, expected.work_percent)
-            });
-        RequestNeed {
-            priority: priority(stream),
-            due_at: request.received + stream.objective,
-            deadline: request.asked_at + stream.deadline,
-            answer_time,
-            work_percent,
-        }
+        RequestNeed::new(
+            priority(stream),
+            request.received,
+            stream.objective,
+            request.asked_at + stream.deadline,
+            expected.as_ref(),
+        )
     }
 
     fn receive(&mut self, now: Moment, id: u64) {
--- a/crates/core/tests/cost_to_callers.rs
+++ b/crates/core/tests/cost_to_callers.rs
@@ -28,6 +28,7 @@
         due_at: ms(due_ms),
         deadline: ms(1_500),
         answer_time: ms(50),
+        quick_answer_time: ms(50),
         work_percent: 100,
     }
 }
@@ -209,6 +210,7 @@
             let mut need = need(rank, workspace, at + due_ms);
             need.deadline = ms(at + 1_500);
             need.answer_time = ms(work_ms);
+            need.quick_answer_time = ms(work_ms);
             need.work_percent = u32::try_from(work_ms * 5).expect("small");
             load.push(Recorded {
                 at: ms(at),
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use lapismoor_core::Moment;
-use lapismoor_core::admission::cost::USUAL_WORK_PERCENT;
 use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
 use lapismoor_core::admission::{Belief, Priority, Refusal, RequestNeed, SuspectKind};
@@ -36,9 +35,6 @@
 const MIN_REPLACEMENT_TIME: Duration = Duration::from_secs(1);
 /// Time until a request may find room that was not tried in favour of others.
 const OVERLOAD_WAIT: Duration = Duration::from_millis(500);
-/// Part of the latency objective that an answer is expected to take before one of its route was
-/// received: one half.
-const UNKNOWN_ANSWER_PART: u32 = 2;
 /// Number of permits after which a request asks for none.
 const ASKS_NO_PERMIT: usize = usize::MAX;
 /// Time between two looks for a target while there is none.
@@ -178,17 +174,13 @@
             let state = self.edge.state.borrow();
             state.answer_times.expected(route, self.work())
         };
-        let (answer_time, work_percent) = expected.map_or(
-            (objective / UNKNOWN_ANSWER_PART, USUAL_WORK_PERCENT),
-            |expected| (expected.time, expected.work_percent),
-        );
-        RequestNeed {
-            priority: self.request.priority.clone(),
-            due_at: self.request.received.saturating_add(objective),
-            deadline: self.deadline,
-            answer_time,
-            work_percent,
-        }
+        RequestNeed::new(
+            self.request.priority.clone(),
+            self.request.received,
+            objective,
+            self.deadline,
+            expected.as_ref(),
+        )
     }
 
     /// Work of the request in units that are comparable within a route: tokens of the prompt.
