--- a/crates/core/src/admission/answer_times.rs
+++ b/crates/core/src/admission/answer_times.rs
@@ -48,28 +48,28 @@
     /// Records that an answer to a request of `work` units took `time`. Units are comparable within
     /// a route, such as tokens.
     pub fn record(&mut self, route: &str, time: Duration, work: u32) {
-        let (time_s, work) = (time.as_secs_f64(), f64::from(work.max(1)));
+        let (took_s, work) = (time.as_secs_f64(), f64::from(work.max(1)));
         let found = self
             .routes
             .binary_search_by(|(name, _)| name.as_str().cmp(route));
         match found {
             Ok(position) => {
                 let times = &mut self.routes[position].1;
-                let weight = if time_s < times.quick_s {
+                let weight = if took_s < times.quick_s {
                     QUICK_ANSWER_WEIGHT
                 } else {
                     SLOW_ANSWER_WEIGHT
                 };
-                times.quick_s += weight * (time_s - times.quick_s);
-                let difference_s = time_s - times.mean_s;
+                times.quick_s += weight * (took_s - times.quick_s);
+                let difference_s = took_s - times.mean_s;
                 times.mean_s += ANSWER_WEIGHT * difference_s;
                 times.deviation_s += ANSWER_WEIGHT * (difference_s.abs() - times.deviation_s);
                 times.mean_work += ANSWER_WEIGHT * (work - times.mean_work);
             }
             Err(position) => {
                 let times = RouteTimes {
-                    quick_s: time_s,
-                    mean_s: time_s,
+                    quick_s: took_s,
+                    mean_s: took_s,
                     deviation_s: 0.0,
                     mean_work: work,
                 };
--- a/crates/core/src/admission/cost.rs
+++ b/crates/core/src/admission/cost.rs
@@ -106,14 +106,6 @@
         self.deadline.saturating_sub(self.quick_answer_time)
     }
 
-    /// What the caller loses if the request starts `wait` after `now` instead of now, in percent of
-    /// an answer on time.
-    #[must_use]
-    pub fn cost_of_wait(&self, now: Moment, wait: Duration) -> u64 {
-        let worth_now = self.prospect(now).worth_percent();
-        worth_now - self.prospect(now + wait).worth_percent().min(worth_now)
-    }
-
     /// What the caller loses for each unit of work that refusing the request spares, in percent of
     /// an answer on time to an average request.
     #[must_use]
@@ -122,23 +114,3 @@
         worth * u64::from(USUAL_WORK_PERCENT) / u64::from(self.work_percent.max(1))
     }
 }
-
-/// When the caller of a refused request returns: once there may be room, and early enough to be
-/// answered on time if it can. Callers are spread over that time by `spread`, from 0 to 1, which
-/// differs between requests. `late_return` is told if the answer can't be on time.
-#[must_use]
-pub fn return_after(
-    now: Moment,
-    need: &RequestNeed,
-    room_in: Duration,
-    spread: f64,
-    late_return: Duration,
-) -> Duration {
-    let left = need.latest_on_time_start().saturating_sub(now);
-    // The way back takes time, and so may the wait for a target.
-    let latest = left / 2;
-    if latest <= room_in {
-        return late_return.max(room_in);
-    }
-    room_in + (latest - room_in).mul_f64(spread.clamp(0.0, 1.0))
-}
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -17,7 +17,7 @@
 pub mod workspaces;
 
 pub use answer_times::AnswerTimes;
-pub use cost::{Prospect, RequestNeed, return_after};
+pub use cost::{Prospect, RequestNeed};
 pub use cost_gate::CostGate;
 pub use flight_limit::{gate_limits, room_limits};
 pub use gate::{Gate, Priority};
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -35,6 +35,8 @@
 
 /// A request that asks for a permit.
 pub(crate) struct PermitRequest<'a> {
+    /// Id for logs.
+    pub id: &'a str,
     pub service: &'a ServiceId,
     /// Time from `received` within which the answer should arrive.
     pub latency_objective: Duration,
@@ -151,7 +153,7 @@
         let need = &request.need;
         if is_by_cost && !self.is_sent_under_pressure(service, need, request.hash) {
             let retry_after = MIN_RETRY_AFTER;
-            self.log_admission(service, &limits, need, "turned_away", false);
+            self.log_admission(&request, &limits, "turned_away", false);
             return Err(Refusal::Full { retry_after });
         }
         let max_wait = if is_by_cost {
@@ -182,7 +184,7 @@
                 Admission::Wait { evicted, .. } => ("queued", evicted.is_some()),
                 _ => ("refused", false),
             };
-            self.log_admission(service, &limits, need, name, has_evicted);
+            self.log_admission(&request, &limits, name, has_evicted);
         }
         let ticket = match decision {
             Admission::Admit => return Ok(self.new_permit(service, is_by_cost)),
@@ -204,7 +206,7 @@
             return Ok(self.new_permit(service, is_by_cost));
         }
         if is_by_cost {
-            self.log_dropped(service, need, now);
+            self.log_dropped(&request, now);
         }
         Err(Refusal::Full {
             retry_after: max_wait.max(MIN_RETRY_AFTER),
@@ -224,12 +226,12 @@
     /// Logs the inputs of a decision that did not admit a request at once.
     fn log_admission(
         &self,
-        service: &ServiceId,
+        request: &PermitRequest<'_>,
         limits: &GateLimits,
-        need: &RequestNeed,
         decision: &'static str,
         has_evicted: bool,
     ) {
+        let (service, need) = (request.service, &request.need);
         let (in_flight, queued) = self.admission.with(service, |admission| {
             let gate = &admission.cost_gate;
             (gate.in_flight() as u64, gate.queued() as u64)
@@ -238,6 +240,7 @@
         let rank = need.priority.rank;
         self.metrics.count_delayed(decision, rank);
         log::info!(
+            request:% = request.id,
             service:%,
             decision,
             has_evicted,
@@ -256,11 +259,13 @@
 
     /// Logs that a queued request was dropped because it can't be answered before its deadline, or
     /// that a request whose refusal costs more took its place.
-    fn log_dropped(&self, service: &ServiceId, need: &RequestNeed, queued_at: Moment) {
+    fn log_dropped(&self, request: &PermitRequest<'_>, queued_at: Moment) {
+        let (service, need) = (request.service, &request.need);
         let now = self.now();
         let rank = need.priority.rank;
         self.metrics.count_delayed("dropped", rank);
         log::info!(
+            request:% = request.id,
             service:%,
             rank,
             workspace:% = need.priority.workspace,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -154,6 +154,7 @@
         let edge = Rc::clone(&self.edge);
         let started_at = edge.now();
         let permit = edge.acquire_permit(PermitRequest {
+            id: &self.request.envelope.id,
             service: &self.request.service,
             latency_objective: self.request.route.latency_objective,
             need: self.need(),
