--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -9,6 +9,7 @@
 pub mod rate_limit;
 pub mod refusal;
 pub mod room;
+pub mod shedding;
 pub mod startup;
 pub mod stop_plan;
 pub mod suspects;
@@ -16,13 +17,14 @@
 pub mod workspaces;
 
 pub use answer_times::AnswerTimes;
-pub use cost::{Prospect, RequestNeed, return_after};
+pub use cost::{Prospect, RequestNeed};
 pub use cost_gate::CostGate;
 pub use flight_limit::{gate_limits, room_limits};
 pub use gate::{Gate, Priority};
 pub use rate_limit::RateLimit;
 pub use refusal::Refusal;
 pub use room::{AnswerTiming, TargetRooms};
+pub use shedding::Shedding;
 pub use startup::wait_for_configuration;
 pub use stop_plan::{StopPhase, StopPlan};
 pub use suspects::{
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -3,4 +3,3 @@
 #![allow(dead_code)]
 
 pub mod fleet;
-pub mod overload;
--- a/crates/core/tests/common/overload.rs
+++ b/crates/core/tests/common/overload.rs
@@ -8,7 +8,7 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::gate::{Admission, Gate, GateLimits, Ticket, max_wait};
 use lapismoor_core::admission::{
-    AnswerTimes, AnswerTiming, CostGate, Priority, RequestNeed, TargetRooms, gate_limits,
+    AnswerTimes, AnswerTiming, CostGate, Priority, RequestNeed, Shedding, TargetRooms, gate_limits,
     room_limits,
 };
 use lapismoor_core::ids::TargetKey;
@@ -125,6 +125,7 @@
     cost_gate: CostGate,
     rooms: TargetRooms,
     answer_times: AnswerTimes,
+    shedding: Shedding,
     waiting: BTreeMap<Ticket, u64>,
 }
 
@@ -186,6 +187,7 @@
                 cost_gate: CostGate::default(),
                 rooms: TargetRooms::default(),
                 answer_times: AnswerTimes::default(),
+                shedding: Shedding::default(),
                 waiting: BTreeMap::new(),
             }
         };
@@ -303,17 +305,13 @@
         let stream = &self.load.streams[request.stream];
         let answer_times = &self.daemons[request.daemon].answer_times;
         let expected = answer_times.expected(stream.name, 1);
-        let (answer_time, work_percent) = expected
-            .map_or((stream.objective / 2, 100), |expected| {
-                (expected.time, expected.work_percent)
-            });
-        RequestNeed {
-            priority: priority(stream),
-            due_at: request.received + stream.objective,
-            deadline: request.asked_at + stream.deadline,
-            answer_time,
-            work_percent,
-        }
+        RequestNeed::new(
+            priority(stream),
+            request.received,
+            stream.objective,
+            request.asked_at + stream.deadline,
+            expected.as_ref(),
+        )
     }
 
     fn receive(&mut self, now: Moment, id: u64) {
@@ -323,6 +321,14 @@
         request.received = now;
         request.sends = 0;
         let stream = &self.load.streams[request.stream];
+        let draw = self.rng.random::<f64>();
+        let shedding = &mut self.daemons[daemon].shedding;
+        if self.policy == Policy::ByCost
+            && !shedding.admit(now, &self.service.name, stream.rank, draw)
+        {
+            self.refuse(now, id, Duration::from_secs(1));
+            return;
+        }
         let limits = self.limits(now, daemon);
         let (decision, patience) = match self.policy {
             Policy::ByUrgency => {
@@ -462,16 +468,12 @@
         let answered_at = now + HOP;
         let request = &self.requests[&id];
         let stream = &self.load.streams[request.stream];
-        let took = answered_at - request.sent_at;
+        let took = answered_at.saturating_sub(request.sent_at);
         let (name, objective) = (stream.name, stream.objective);
         let times = &mut self.daemons[request.daemon].answer_times;
         times.record(name, took, 1);
-        let timing = if took > objective {
-            AnswerTiming::Late
-        } else {
-            AnswerTiming::OnTime
-        };
-        let total = answered_at - request.asked_at;
+        let timing = AnswerTiming::of_answer(took, objective);
+        let total = answered_at.saturating_sub(request.asked_at);
         let (position, deadline) = (request.stream, stream.deadline);
         self.showed_room(answered_at, id, target, timing);
         self.finish_attempt(id, target);
@@ -494,6 +496,9 @@
             .directory
             .get(key)
             .map_or(1, |known| known.load.own_requests());
+        daemon
+            .shedding
+            .record(now, &self.service.name, timing == AnswerTiming::OnTime);
         daemon.rooms.record(now, key, in_flight, timing);
     }
 
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -9,7 +9,7 @@
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
     AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, PermitDesk, ReturnSchedule,
-    StopPlan, Suspects, TargetRooms, Workspaces,
+    Shedding, StopPlan, Suspects, TargetRooms, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
@@ -131,6 +131,8 @@
     pub overloads: Overloads,
     /// Room of the targets that are under pressure.
     pub target_rooms: TargetRooms,
+    /// Fractions of the requests that are sent while targets reject some.
+    pub shedding: Shedding,
     /// Answer times of the routes.
     pub answer_times: AnswerTimes,
     /// Times at which callers return that were refused for limits.
@@ -210,6 +212,7 @@
             permits: PermitDesk::default(),
             overloads: Overloads::default(),
             target_rooms: TargetRooms::default(),
+            shedding: Shedding::default(),
             answer_times: AnswerTimes::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
@@ -486,6 +489,9 @@
         let state = &mut *self.state.borrow_mut();
         if let Some(known) = state.directory.get(target) {
             let in_flight = known.load.own_requests();
+            let is_on_time = timing == AnswerTiming::OnTime;
+            let service = &known.entry.service;
+            state.shedding.record(now, service, is_on_time);
             state.target_rooms.record(now, target, in_flight, timing);
         }
     }
