--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -87,12 +87,16 @@
     /// longer, or again after it was restored. Invariant: sorted; at most [`MAX_SAID_LEAVING`]
     /// long.
     said_leaving: Vec<(TargetIncarnation, SocketAddr, Moment)>,
+    /// Targets whose entries cannot be parsed. Invariant: sorted; at most [`MAX_UNREADABLE`] long.
+    unreadable: Vec<TargetId>,
     /// End of the grace period for entries that expired during an outage of the store.
     relisting_until: Option<Moment>,
 }
 
 /// Maximum number of incarnations whose announced end is remembered; the oldest one is forgotten.
 const MAX_SAID_LEAVING: usize = 1_024;
+/// Maximum number of targets whose unreadable entries are remembered, and reported.
+const MAX_UNREADABLE: usize = 256;
 /// Minimum time for which a leaving target keeps running to finish its requests.
 const MIN_DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time for which a leaving target stays in the directory. Its streams may continue, and its cache
@@ -189,6 +193,7 @@
 
     /// Applies the current entry of a target in the store.
     pub fn apply(&mut self, now: Moment, entry: TargetEntry) -> DirectoryChange {
+        self.forget_unreadable(&entry.id);
         let position = match self.position(&entry.id) {
             Ok(position) => position,
             Err(position) => {
@@ -227,6 +232,7 @@
     /// Applies the removal of an entry from the store. Returns the target unless it is unknown or
     /// was already leaving.
     pub fn remove(&mut self, now: Moment, id: &str) -> Option<&KnownTarget> {
+        self.forget_unreadable(id);
         let position = self.position(id).ok()?;
         let may_have_expired = self.relisting_until.is_some_and(|until| now < until);
         let target = &mut self.targets[position];
@@ -241,13 +247,24 @@
         Some(target)
     }
 
-    /// Marks a target as leaving because its entry cannot be parsed. Returns whether that changed
-    /// its standing.
+    /// Marks a target as leaving because its entry cannot be parsed. Returns whether it is the first
+    /// such entry of the target since the last one that was parsed, or removed.
     pub fn reject(&mut self, now: Moment, id: &str) -> bool {
-        let Ok(position) = self.position(id) else {
-            return false;
-        };
-        self.targets[position].leave(now)
+        if let Ok(position) = self.position(id) {
+            self.targets[position].leave(now);
+        }
+        let found = self.unreadable.binary_search_by(|one| one.as_str().cmp(id));
+        match found {
+            Err(position) if self.unreadable.len() < MAX_UNREADABLE => {
+                self.unreadable.insert(position, id.into());
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn forget_unreadable(&mut self, id: &str) {
+        self.unreadable.retain(|one| one.as_str() != id);
     }
 
     /// Records that a target said in an answer that it leaves. This holds for its incarnation,
--- a/crates/core/tests/outcomes.rs
+++ b/crates/core/tests/outcomes.rs
@@ -77,6 +77,35 @@
     }
 }
 
+/// Guards against a refusal after an attempt that may have run, however many follow it, with time and budget
+/// left or not.
+#[test]
+fn refusal_follows_only_attempts_that_did_not_run() {
+    let ends = [NotSent, Rejected, Failed, Unknown];
+    for number in 0..4_usize.pow(4) {
+        let drawn = [number % 4, number / 4 % 4, number / 16 % 4, number / 64];
+        for (is_repeatable, has_time, has_budget) in
+            (0..8).map(|bits| (bits & 1 > 0, bits & 2 > 0, bits & 4 > 0))
+        {
+            let mut counts = AttemptCounts::default();
+            let mut may_have_run = false;
+            for end in drawn.map(|one| &ends[one]) {
+                counts.count_attempt(end);
+                may_have_run |= matches!(end, Failed | Unknown);
+                let actual = policy(is_repeatable).next(end, counts, has_time, || has_budget);
+                assert!(
+                    !may_have_run || actual != NextStep::RefuseNotRun,
+                    "{drawn:?}"
+                );
+                assert!(
+                    !may_have_run || is_repeatable || actual != NextStep::Retry,
+                    "{drawn:?}"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn exhausted_budget_prevents_retries() {
     assert_eq!(final_step(true, &[Unknown], false), NextStep::FailUnknown);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lapismoor_core::ids::{ServiceId, TargetId};
+use lapismoor_core::routing::PacePercent;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -28,6 +29,7 @@
     permits: Counter<u64>,
     target_limit: Gauge<f64>,
     target_share: Gauge<f64>,
+    target_pace: Gauge<u64>,
     /// Connections opened to targets since the start.
     pub connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
@@ -100,6 +102,10 @@
                 .f64_gauge("lapismoor.target.share")
                 .with_description("Requests per second that this daemon was permitted to a target when it last had no room")
                 .build(),
+            target_pace: meter
+                .u64_gauge("lapismoor.target.pace")
+                .with_description("Time that work took at a target when it was last chosen, in percent of the usual")
+                .build(),
             connections_opened: counter(
                 "lapismoor.target.connections",
                 "Connections opened to targets",
@@ -197,6 +203,12 @@
         self.target_share.record(share_per_s, &labels);
     }
 
+    /// Records the pace of a target that is chosen, in percent of the usual.
+    pub fn record_pace(&self, target: &TargetId, percent: PacePercent) {
+        let labels = [KeyValue::new("target", target.to_string())];
+        self.target_pace.record(percent.into(), &labels);
+    }
+
     /// Records how many retries are left in a service's budget.
     pub fn record_retries_left(&self, service: &ServiceId, left: u64) {
         let labels = [KeyValue::new("service", service.to_string())];
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -148,6 +148,9 @@
     if let Some(age) = edge.load_age(choice.target) {
         edge.metrics.record_load_age(age);
     }
+    if let Some(percent) = edge.pace_percent(choice.target) {
+        edge.metrics.record_pace(&target_id, percent);
+    }
     let in_flight = InFlight {
         target: choice.target,
         incarnation: edge.incarnation_of(choice.target),
