--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -247,12 +247,18 @@
         Some(target)
     }
 
-    /// Marks a target as leaving because its entry cannot be parsed. Returns whether it is the first
-    /// such entry of the target since the last one that was parsed, or removed.
+    /// Marks a target as leaving because its entry cannot be parsed. Returns whether that changed
+    /// its standing.
     pub fn reject(&mut self, now: Moment, id: &str) -> bool {
-        if let Ok(position) = self.position(id) {
-            self.targets[position].leave(now);
-        }
+        let Ok(position) = self.position(id) else {
+            return false;
+        };
+        self.targets[position].leave(now)
+    }
+
+    /// Records that the entry of a target, known or not, cannot be parsed. Returns whether it is the
+    /// first such entry since the last one that was parsed, or removed.
+    pub fn record_unreadable(&mut self, id: &str) -> bool {
         let found = self.unreadable.binary_search_by(|one| one.as_str().cmp(id));
         match found {
             Err(position) if self.unreadable.len() < MAX_UNREADABLE => {
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -54,20 +54,21 @@
 #[test]
 fn unreadable_entry_is_reported_once_until_it_can_be_read_again() {
     let mut directory = directory_with(&["a", "b"]);
-    assert!(directory.reject(ms(1), "a"));
-    assert!(directory.reject(ms(1), "never-listed"));
-    assert!(!directory.reject(ms(2), "a") && !directory.reject(ms(2), "never-listed"));
+    assert!(directory.record_unreadable("a"));
+    assert!(directory.record_unreadable("never-listed"));
+    assert!(!directory.record_unreadable("a") && !directory.record_unreadable("never-listed"));
+    assert!(directory.reject(ms(2), "a"));
     assert_eq!(in_use(&directory), ["b"]);
     assert_eq!(
         directory.apply(ms(3), entry("a")),
         DirectoryChange::Returned
     );
     assert_eq!(in_use(&directory), ["a", "b"]);
-    assert!(directory.reject(ms(4), "a"));
+    assert!(directory.record_unreadable("a"));
     for number in 0..1_000 {
-        directory.reject(ms(5), &format!("x-{number}"));
+        directory.record_unreadable(&format!("x-{number}"));
     }
-    assert!(!directory.reject(ms(6), "x-999"), "the log is bounded");
+    assert!(!directory.record_unreadable("x-999"), "the log is bounded");
 }
 
 #[test]
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -36,7 +36,9 @@
         }
         StoreUpdate::Target(entry) => apply_target(edge, now, entry, cause),
         StoreUpdate::UnreadableTarget { id, reason } => {
-            if edge.state.borrow_mut().directory.reject(now, &id) {
+            let directory = &mut edge.state.borrow_mut().directory;
+            let has_left = directory.reject(now, &id);
+            if directory.record_unreadable(&id) || has_left {
                 log::warn!(target:% = id, reason:%; "target_entry_unreadable");
             }
         }
