--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lapismoor_core::ids::{ServiceId, TargetId};
+use lapismoor_core::routing::PacePercent;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -31,6 +32,7 @@
     target_share: Gauge<f64>,
     /// Targets that take fewer requests because they are cold.
     pub cold_targets: Gauge<u64>,
+    target_pace: Gauge<u64>,
     /// Connections opened to targets since the start.
     pub connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
@@ -113,6 +115,10 @@
                 .u64_gauge("lapismoor.target.cold")
                 .with_description("Targets that take fewer requests because they are cold")
                 .build(),
+            target_pace: meter
+                .u64_gauge("lapismoor.target.pace")
+                .with_description("Time that work took at a target when it was last chosen, in percent of the usual")
+                .build(),
             connections_opened: counter(
                 "lapismoor.target.connections",
                 "Connections opened to targets",
@@ -223,6 +229,12 @@
         self.target_share.record(share_per_s, &labels);
     }
 
+    /// Records the pace of a target that is chosen, in percent of the usual.
+    pub fn record_pace(&self, target: &TargetId, percent: PacePercent) {
+        let labels = [KeyValue::new("target", target.to_string())];
+        self.target_pace.record(percent.into(), &labels);
+    }
+
     /// Records how many retries are left in a service's budget.
     pub fn record_retries_left(&self, service: &ServiceId, left: u64) {
         let labels = [KeyValue::new("service", service.to_string())];
