--- a/crates/core/tests/cold_targets.rs
+++ b/crates/core/tests/cold_targets.rs
@@ -660,7 +660,7 @@
 fn service_without_a_cold_limit_is_not_limited() {
     let mut directory = Directory::default();
     directory.apply(Moment::ZERO, entry(0, "east", START));
-    directory.domain_may_be_cold(Moment::ZERO, "east", START);
+    directory.domain_may_be_cold(Moment::ZERO, "east");
     let target = directory.find("i-0").expect("known");
     assert!(!target.needs_permit(Moment::ZERO));
     assert_eq!(TargetLimit::of(Moment::ZERO, target), None);
@@ -673,7 +673,7 @@
     directory.apply(Moment::ZERO, entry(0, "east", Duration::ZERO));
     directory.apply(Moment::ZERO, entry(1, "west", Duration::ZERO));
     let now = Duration::from_secs(20);
-    directory.domain_may_be_cold(now, "east", START);
+    directory.domain_may_be_cold(now, "east");
     let is_cold = |id: &str, at| {
         let target = directory.find(id).expect("known");
         target.cold_rate(at).is_some()
