--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -21,10 +21,6 @@
 pub(super) struct Candidate<'a> {
     pub(super) target: &'a KnownTarget,
     pub(super) load: f64,
-    /// Time that work takes at this moment, as a multiple of the usual.
-    pub(super) pace: f64,
-    /// Load times the pace of the last seconds, in requests at the usual pace.
-    pub(super) lasting_work: f64,
     pub(super) is_usable: bool,
     pub(super) is_healthy: bool,
     /// Time until the target may have room within its limit; zero if it may now.
@@ -32,21 +28,6 @@
 }
 
 impl Candidate<'_> {
-    /// Whether the target tells how many requests it has. The answer times of the others include the
-    /// time in their queues.
-    pub(super) fn reports_load(&self) -> bool {
-        self.target.load.has_report()
-    }
-
-    /// Load with one request more, in requests at the usual pace, less that one.
-    pub(super) fn work(&self) -> f64 {
-        if self.reports_load() {
-            self.load * self.pace + (self.pace - 1.0)
-        } else {
-            self.load
-        }
-    }
-
     pub(super) fn has_limit(&self) -> bool {
         self.target.limit.rate().is_some()
     }
@@ -117,8 +98,6 @@
         |target: &KnownTarget| is_untried(target) || (may_repeat && target.is_available(now));
     let to_candidate = |target: &'a KnownTarget| Candidate {
         load: target.load.estimate(now, mean_others),
-        pace: target.load.pace.factor(now),
-        lasting_work: target.load.estimate(now, mean_others) * target.load.pace.lasting_factor(now),
         is_usable: may_get_request(target),
         is_healthy: !target.breaker.is_failing(now),
         room_in: room_in(now, target, query),
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -11,7 +11,7 @@
 
 use crate::admission::Priority;
 use crate::clock::Moment;
-use crate::ids::{FailureDomain, ServiceId, TargetKey, hash_parts};
+use crate::ids::{FailureDomain, ServiceId, TargetKey};
 use crate::membership::{Directory, KnownTarget};
 use crate::routing::candidates::{Candidate, candidates, least_loaded, why_unavailable};
 use crate::routing::home_regions::Homes;
@@ -29,8 +29,6 @@
 /// Added to the load of targets in other failure domains when loads are compared, so that one of
 /// them is preferred only if it has this many requests fewer in flight.
 const DOMAIN_COST_REQUESTS: f64 = 1.0;
-/// Ratio up to which two paces count as equal: answer times of single requests differ by as much.
-const EQUAL_PACES: f64 = 1.25;
 
 value! {
     /// A contiguous part of a prompt, the unit of cache reuse.
@@ -134,8 +132,6 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Bounds {
     mean: f64,
-    /// Mean of the load times the pace, in requests at the usual pace.
-    mean_work: f64,
     /// Load at which further requests go to other targets.
     max_load: f64,
 }
@@ -146,12 +142,6 @@
         let spread = (self.max_load - self.mean).max(0.0);
         self.mean.min(self.max_load) + reuse_weight * spread
     }
-
-    /// Work below which a home is preferred to other targets, if it is one at a load below
-    /// `home_bound`. Where all targets are equally slow, no other one is quicker.
-    fn work_bound(&self, home_bound: f64) -> f64 {
-        home_bound + (self.mean_work - self.mean).max(0.0)
-    }
 }
 
 /// The chosen target of a request.
@@ -265,13 +255,9 @@
         let homes = self.home_count(now, query, part, candidates.len());
         let reuse_value = self.reuse_value(query);
         let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value);
-        let work_bound = bounds.work_bound(bound);
         let suits = |position: &&usize| {
             let candidate = &candidates[**position];
-            candidate.is_usable
-                && candidate.is_healthy
-                && candidate.load < bound
-                && candidate.lasting_work < work_bound
+            candidate.is_usable && candidate.is_healthy && candidate.load < bound
         };
         let fits = |position: &&usize| suits(position) && candidates[**position].may_get_request();
         // Targets with limits have room at times, so that a part would be read at one after another.
@@ -321,7 +307,6 @@
         };
         let chosen = cheapest(&|one| one.may_get_request() && one.is_healthy)
             .or_else(|| least_loaded(candidates))?;
-        let chosen = Self::leave_if_slow(candidates, &order, chosen, query.request);
         let first_choice = cheapest(&|one| one.is_usable && one.is_healthy);
         let limited = first_choice.map(|first| &candidates[first]);
         let limited = limited.filter(|candidate| candidate.is_limited());
@@ -335,40 +320,10 @@
         })
     }
 
-    /// Another candidate if the chosen one is slow and reports no load. It keeps the part of its
-    /// requests that it finishes while the others finish all of theirs, so that the requests of many
-    /// daemons that see the same paces neither leave a slow target nor return to it all at once.
-    fn leave_if_slow(
-        candidates: &[Candidate<'_>],
-        order: &[usize],
-        chosen: usize,
-        request: u64,
-    ) -> usize {
-        let slow = &candidates[chosen];
-        if slow.reports_load() || slow.pace <= EQUAL_PACES {
-            return chosen;
-        }
-        let is_other = |position: &&usize| {
-            let one = &candidates[**position];
-            **position != chosen && one.may_get_request() && one.is_healthy && !one.reports_load()
-        };
-        let others = || order.iter().filter(is_other).copied();
-        let least_pace = others().map(|one| candidates[one].pace).reduce(f64::min);
-        let Some(least_pace) = least_pace else {
-            return chosen;
-        };
-        let is_quick = |one: &usize| candidates[*one].pace <= least_pace * EQUAL_PACES;
-        let kept_fraction = least_pace * EQUAL_PACES / slow.pace;
-        if drawn_fraction(request) < kept_fraction {
-            return chosen;
-        }
-        others().find(is_quick).unwrap_or(chosen)
-    }
-
     /// Load of the candidate, plus a penalty if it is in another failure domain.
     fn cost(&self, candidate: &Candidate<'_>) -> f64 {
         let is_near = candidate.target.entry.domain == self.domain;
-        candidate.work() + if is_near { 0.0 } else { DOMAIN_COST_REQUESTS }
+        candidate.load + if is_near { 0.0 } else { DOMAIN_COST_REQUESTS }
     }
 
     /// How much the reuse of the shared parts is worth, from 0 to 1, compared with the other
@@ -426,18 +381,15 @@
         let bound = override_bound.unwrap_or(&self.bound);
         // Targets with a limit have less than an even share, which the others carry.
         let unlimited = candidates.iter().filter(|one| !one.has_limit());
-        let mut counted: Vec<&Candidate<'_>> = unlimited.collect();
-        if counted.is_empty() {
-            counted = candidates.iter().collect();
+        let mut loads: Vec<f64> = unlimited.map(|candidate| candidate.load).collect();
+        if loads.is_empty() {
+            loads = candidates.iter().map(|candidate| candidate.load).collect();
         }
-        let targets = counted.len() as f64;
-        let mean = counted.iter().map(|one| one.load).sum::<f64>() / targets;
-        let mean_work = counted.iter().map(|one| one.lasting_work).sum::<f64>() / targets;
+        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
         let multiple = f64::from(bound.percent) / 100.0;
         let max_load = multiple * mean + f64::from(bound.extra) - BOUND_MARGIN_REQUESTS;
         Bounds {
             mean,
-            mean_work,
             max_load: max_load.max(1.0),
         }
     }
@@ -461,11 +413,3 @@
     let tokens = placement_parts(parts).iter().map(|part| part.tokens);
     tokens.fold(0, u32::saturating_add)
 }
-
-/// Fraction from 0 to 1 that is drawn by the hash of a request, independently of the order of its
-/// targets.
-#[expect(clippy::cast_precision_loss)]
-fn drawn_fraction(request: u64) -> f64 {
-    let hash = hash_parts(&[&request.to_le_bytes(), b"pace"]);
-    (hash >> 11) as f64 / (1_u64 << 53) as f64
-}
--- a/crates/core/src/routing/load.rs
+++ b/crates/core/src/routing/load.rs
@@ -110,12 +110,6 @@
         self.own_requests
     }
 
-    /// Whether the target has ever reported its load.
-    #[must_use]
-    pub fn has_report(&self) -> bool {
-        self.reported_at.is_some()
-    }
-
     /// Age of the last report; `None` before the first one.
     #[must_use]
     pub fn report_age(&self, now: Moment) -> Option<Duration> {
--- a/crates/core/src/routing/pace.rs
+++ b/crates/core/src/routing/pace.rs
@@ -25,9 +25,6 @@
 /// Time in which an observation loses two thirds of its weight (1 - 1/e): moments of slowness last
 /// parts of a second.
 const MOMENT: Duration = Duration::from_millis(500);
-/// The same for the lasting pace, which decides whether shared parts are read elsewhere: a shorter
-/// slowness is over before such a move has paid off.
-const LASTING: Duration = Duration::from_secs(3);
 /// Weight of the assumption that a target works as usual, in observations.
 const USUAL_WEIGHT: f64 = 1.0;
 /// Weight of what a daemon tells that has merged the observations of others.
@@ -66,7 +63,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct PaceView {
     moment: Average,
-    lasting: Average,
     /// Time of the last observation, made by this daemon or another one.
     observed_at: Option<Moment>,
     /// When the last observation reached this daemon.
@@ -110,7 +106,6 @@
         let since_last = observed_at.saturating_sub(self.observed_at.unwrap_or(observed_at));
         let ln_pace = to_ln(f64::from(percent));
         self.moment.add(since_last, MOMENT, ln_pace, weight);
-        self.lasting.add(since_last, LASTING, ln_pace, weight);
         self.observed_at = self.observed_at.max(Some(observed_at));
         self.received_at = now;
     }
@@ -122,13 +117,6 @@
             .map_or(1.0, |age| self.moment.factor(age, MOMENT))
     }
 
-    /// Time that work has taken for some seconds, as a multiple of the usual; 1 if nothing is known.
-    #[must_use]
-    pub fn lasting_factor(&self, now: Moment) -> f64 {
-        self.age(now)
-            .map_or(1.0, |age| self.lasting.factor(age, LASTING))
-    }
-
     /// Time that work takes at this moment, in percent of the usual; `None` before the first
     /// observation.
     #[must_use]
