--- a/crates/core/src/admission/room.rs
+++ b/crates/core/src/admission/room.rs
@@ -15,8 +15,6 @@
 const DECREASE_FACTOR: f64 = 0.75;
 /// Increase of a target's requests with as many answers on time as it has requests.
 const INCREASE: f64 = 1.0;
-/// Part of the latency objective that an answer may take the target, in percent.
-const MAX_ANSWER_PERCENT: u32 = 75;
 /// Time between two decreases. Requests sent before the first one may still be rejected.
 const DECREASE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the last rejected or late answer until a target is no longer limited.
@@ -25,9 +23,9 @@
 value! {
     /// What an answer shows about the room of its target.
     pub enum AnswerTiming {
-        /// It arrived well within the latency objective.
+        /// It arrived within the latency objective.
         OnTime,
-        /// It took the target too long.
+        /// It took the target longer.
         Late,
         /// The target had no room for the request.
         Rejected,
@@ -35,11 +33,10 @@
 }
 
 impl AnswerTiming {
-    /// What an answer shows that took the target `took`. One that takes most of its latency
-    /// objective leaves nothing for the wait before it.
+    /// What an answer shows that took the target `took`.
     #[must_use]
     pub fn of_answer(took: Duration, latency_objective: Duration) -> Self {
-        if took > latency_objective * MAX_ANSWER_PERCENT / 100 {
+        if took > latency_objective {
             Self::Late
         } else {
             Self::OnTime
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -217,6 +217,9 @@
     /// turned away.
     #[expect(clippy::cast_precision_loss)]
     fn is_sent_under_pressure(&self, service: &ServiceId, need: &RequestNeed, hash: u64) -> bool {
+        if !self.settings.tuning.urgent_first {
+            return true;
+        }
         let now = self.now();
         let draw = hash as f64 / u64::MAX as f64;
         let shedding = &mut self.state.borrow_mut().shedding;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -124,6 +124,9 @@
     pub store_timeout: Duration,
     /// One of this many served requests is logged; 0 counts as 1.
     pub log_every: u32,
+    /// Whether less urgent requests are turned away before they are sent while targets reject
+    /// requests. More urgent ones are answered on time, and fewer requests are served in all.
+    pub urgent_first: bool,
 }
 
 impl Default for Tuning {
@@ -147,6 +150,7 @@
             max_mirror_age: Duration::from_millis(1_500),
             store_timeout: Duration::from_millis(700),
             log_every: 32,
+            urgent_first: false,
         }
     }
 }
