Admit by cost only where the settings ask for it, and tell no paces between daemons

Cause: the joined parts acted on every deployment. Admission by cost ran wherever a service has no configured requests per target. Paces are known by each daemon from its own answers.

--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -15,7 +15,6 @@
 use crate::ids::{ServiceId, TargetId, hash_parts};
 use crate::membership::{Directory, KnownTarget, TargetIncarnation};
 use crate::routing::choice::Chooser;
-use crate::routing::pace::{PacePercent, PaceView};
 use crate::routing::popularity::{PartRequests, PartShare};
 use crate::stream::StreamOrigin;
 
@@ -49,12 +48,10 @@
     pub struct TargetLoad {
         /// The target.
         pub target: TargetHash,
-        /// Its requests, running and waiting; zero if it reports none, and only its pace is known.
+        /// Its requests, running and waiting.
         pub requests: u32,
         /// Age of the report.
         pub age: Duration,
-        /// Time that work takes there now, in percent of the usual, if it is known.
-        pub pace_percent: Option<u16>,
     }
 
     /// New observations of one daemon.
@@ -95,7 +92,7 @@
     });
     Observations {
         requests: requests.collect(),
-        loads: loads(now, since, directory, Origin::Own),
+        loads: loads(now, since, directory, |target| target.load.is_own_report()),
         limits: changed_limits(now, since, directory),
         streams: Vec::new(),
     }
@@ -108,7 +105,7 @@
 pub fn collected_observations(now: Moment, since: Moment, directory: &Directory) -> Observations {
     Observations {
         requests: Vec::new(),
-        loads: loads(now, since, directory, Origin::Any),
+        loads: loads(now, since, directory, |_| true),
         limits: changed_limits(now, since, directory),
         streams: Vec::new(),
     }
@@ -121,12 +118,7 @@
     directory: &mut Directory,
     chooser: &mut Chooser,
 ) {
-    merge_loads(
-        now,
-        &observations.loads,
-        directory,
-        PaceView::record_relayed,
-    );
+    merge_loads(now, &observations.loads, directory);
     for (service, requests) in &observations.requests {
         if let Some(service) = service_by_hash(directory, *service) {
             chooser.popularity(&service).merge(now, requests);
@@ -151,7 +143,7 @@
     });
     FleetSample {
         popular: popular.collect(),
-        loads: loads(now, since, directory, Origin::Any),
+        loads: loads(now, since, directory, |_| true),
         limits: changed_limits(now, since, directory),
     }
 }
@@ -163,7 +155,7 @@
     directory: &mut Directory,
     chooser: &mut Chooser,
 ) {
-    merge_loads(now, &sample.loads, directory, PaceView::record_merged);
+    merge_loads(now, &sample.loads, directory);
     for (service, shares) in sample.popular {
         if let Some(service) = service_by_hash(directory, service) {
             chooser.popularity(&service).set_fleet_shares(now, shares);
@@ -187,38 +179,22 @@
     hash as u32
 }
 
-/// Whose observations are told.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Origin {
-    /// Those of this daemon.
-    Own,
-    /// Those of other daemons too.
-    Any,
-}
-
-fn loads(now: Moment, since: Moment, directory: &Directory, origin: Origin) -> Vec<TargetLoad> {
-    let is_told = |is_own: bool| is_own || origin == Origin::Any;
+fn loads(
+    now: Moment,
+    since: Moment,
+    directory: &Directory,
+    is_included: impl Fn(&KnownTarget) -> bool,
+) -> Vec<TargetLoad> {
+    let targets = directory.targets().iter().filter(|one| is_included(one));
     let to_load = |target: &KnownTarget| {
-        let view = &target.load;
-        let report = view.report_since(since);
-        let report = report.filter(|_| is_told(view.is_own_report()));
-        let pace = match origin {
-            Origin::Own => view.pace.own_since(since),
-            Origin::Any => view.pace.merged_since(since),
-        };
-        let pace_percent = pace.map(|(percent, _)| percent);
-        let pace_only = || pace.map(|(_, observed_at)| (0, observed_at));
-        let (requests, observed_at) = report.or_else(pace_only)?;
+        let (requests, reported_at) = target.load.report_since(since)?;
         Some(TargetLoad {
             target: target.hash,
             requests,
-            age: now.saturating_sub(observed_at),
-            pace_percent,
+            age: now.saturating_sub(reported_at),
         })
     };
-    let mut loads: Vec<TargetLoad> = directory
-        .targets()
-        .iter()
+    let mut loads: Vec<TargetLoad> = targets
         .filter_map(to_load)
         .filter(|load| load.age < MAX_REPORT_AGE)
         .collect();
@@ -282,24 +258,13 @@
     changes
 }
 
-fn merge_loads(
-    now: Moment,
-    loads: &[TargetLoad],
-    directory: &mut Directory,
-    record_pace: impl Fn(&mut PaceView, Moment, Moment, PacePercent),
-) {
+fn merge_loads(now: Moment, loads: &[TargetLoad], directory: &mut Directory) {
     let mut sorted: Vec<&TargetLoad> = loads.iter().collect();
     sorted.sort_by_key(|load| load.target);
     directory.for_each_load(|target, view| {
         if let Ok(position) = sorted.binary_search_by_key(&target, |load| load.target) {
             let load = sorted[position];
-            let observed_at = now.saturating_sub(load.age);
-            if load.requests > 0 || load.pace_percent.is_none() {
-                view.record_relayed_report(now, observed_at, load.requests);
-            }
-            if let Some(percent) = load.pace_percent {
-                record_pace(&mut view.pace, now, observed_at, percent);
-            }
+            view.record_relayed_report(now, now.saturating_sub(load.age), load.requests);
         }
     });
 }
--- a/crates/core/tests/fleet_sample.rs
+++ b/crates/core/tests/fleet_sample.rs
@@ -204,7 +204,6 @@
             target: 1,
             requests: 9,
             age: at(0),
-            pace_percent: None,
         }],
         requests: vec![(1, requests)],
         limits: Vec::new(),
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -306,7 +306,8 @@
         let in_use = state.directory.in_use(service);
         let reachable = in_use.filter(|target| target.is_available(now));
         let share = &state.traffic_share;
-        if known.requests_per_target.is_some() {
+        let is_by_cost = self.settings.tuning.admission_by_cost;
+        if known.requests_per_target.is_some() || !is_by_cost {
             return (gate_limits(&known, reachable, share), false);
         }
         let rooms = &state.target_rooms;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -128,7 +128,10 @@
     pub store_timeout: Duration,
     /// One of this many served requests is logged; 0 counts as 1.
     pub log_every: u32,
-    /// Whether less urgent requests are turned away before they are sent while targets reject
+    /// Whether requests of services without a configured number of requests per target are admitted
+    /// by the room of its targets and by what waiting costs callers.
+    pub admission_by_cost: bool,
+    /// With `admission_by_cost`, whether less urgent requests are turned away before they are sent while targets reject
     /// requests. More urgent ones are answered on time, and fewer requests are served in all.
     pub urgent_first: bool,
 }
@@ -154,6 +157,7 @@
             max_mirror_age: Duration::from_millis(1_500),
             store_timeout: Duration::from_millis(700),
             log_every: 32,
+            admission_by_cost: false,
             urgent_first: false,
         }
     }
--- a/crates/mirror/schema/mirror.capnp
+++ b/crates/mirror/schema/mirror.capnp
@@ -87,9 +87,6 @@
 
   requests @1 :UInt16;
   ageMs @2 :UInt16;
-
-  pacePercent @3 :UInt16;
-  # Time that work takes there now, in percent of the usual; zero if it is not known.
 }
 
 struct ServiceParts {
--- a/crates/mirror/src/observations.rs
+++ b/crates/mirror/src/observations.rs
@@ -79,7 +79,6 @@
         target: load.get_target(),
         requests: load.get_requests().into(),
         age: Duration::from_millis(load.get_age_ms().into()),
-        pace_percent: Some(load.get_pace_percent()).filter(|pace| *pace > 0),
     };
     loads.iter().map(read).collect()
 }
@@ -93,7 +92,6 @@
         entry.set_target(load.target);
         entry.set_requests(u16::try_from(load.requests).unwrap_or(u16::MAX));
         entry.set_age_ms(u16::try_from(load.age.as_millis()).unwrap_or(u16::MAX));
-        entry.set_pace_percent(load.pace_percent.unwrap_or_default());
     }
 }
 
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -113,7 +113,6 @@
         target,
         requests,
         age: Duration::from_millis(age_ms),
-        pace_percent: (target == 7).then_some(250),
     };
     vec![load(u32::MAX, 0, 0), load(7, 65_535, 2_999)]
 }
