Explain where a request would go without sending it

Cause: operators see the state of targets, but not where a given request would go and why.

Change: POST /where at the operator address of a daemon names route, service, admission, homes of the shared prompt part, the chosen target, and what keeps the request from each of the others. Choice and preview share their steps: a choice counts the request and then decides by a shared reference; a preview decides by a counted copy. Gate::preview admits at a copy of the gate.

Ruled out: a dry run of the real request, which takes permits and counts as traffic; an answer that lapismoorctl computes from /status, which would be a second implementation of the choice.

Requests that are served are chosen, counted and admitted as before.

--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -55,6 +55,20 @@
         },
     }
 
+    /// What a gate would decide about one more request.
+    pub struct GatePreview {
+        /// Requests in flight.
+        pub in_flight: usize,
+        /// Maximum number of requests in flight for the rank of the request.
+        pub limit: usize,
+        /// Queued requests that would be sent before it.
+        pub ahead: usize,
+        /// Expected wait; zero if it would be sent at once.
+        pub expected_wait: Duration,
+        /// The decision.
+        pub admission: Admission,
+    }
+
     /// What decides the position of a request in the queue.
     #[derive(Default)]
     pub struct Priority {
@@ -148,6 +162,36 @@
         Admission::Wait { ticket, evicted }
     }
 
+    /// What [`Self::admit`] would decide now. Changes nothing.
+    #[must_use]
+    pub fn preview(
+        &self,
+        now: Moment,
+        limits: &GateLimits,
+        priority: &Priority,
+        max_wait: Duration,
+    ) -> GatePreview {
+        let Priority {
+            rank,
+            workspace,
+            weight,
+        } = priority;
+        let ahead = self.queue.ahead_of(*rank, workspace, *weight);
+        let limit = limits.for_rank(*rank);
+        let admission = self.clone().admit(now, limits, priority, max_wait);
+        let expected_wait = match admission {
+            Admission::Admit => Duration::ZERO,
+            _ => self.expected_wait(ahead, limit),
+        };
+        GatePreview {
+            in_flight: self.in_flight,
+            limit,
+            ahead,
+            expected_wait,
+            admission,
+        }
+    }
+
     /// Records the end of a request that was in flight for `time_in_flight`. Returns the queued
     /// requests that may be sent now.
     pub fn release(
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -5,6 +5,7 @@
 use crate::clock::Moment;
 use crate::membership::{Directory, KnownTarget};
 use crate::routing::choice::{NoTarget, TargetQuery};
+use crate::routing::exclusion::bar;
 
 /// Permits that a request asks for before it goes to a target without a limit, or to none. Each one
 /// takes a call to another daemon.
@@ -24,7 +25,7 @@
     pub(super) is_usable: bool,
     pub(super) is_healthy: bool,
     /// Time until the target may have room within its limit; zero if it may now.
-    room_in: Duration,
+    pub(super) room_in: Duration,
 }
 
 impl Candidate<'_> {
@@ -83,7 +84,7 @@
 ) -> Vec<Candidate<'a>> {
     let targets = directory.in_use(query.service);
     let targets: Vec<&KnownTarget> = targets
-        .filter(|target| query.version.allows(target.version))
+        .filter(|target| bar(target, query).is_none())
         .collect();
     let reports = targets
         .iter()
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -16,6 +16,7 @@
 use crate::routing::candidates::{Candidate, candidates, least_loaded, why_unavailable};
 use crate::routing::home_regions::Homes;
 use crate::routing::popularity::Popularity;
+use crate::routing::preview::{self, PartPlacement, Preview};
 use crate::routing::rendezvous::{rendezvous_first, rendezvous_order};
 use crate::stream::VersionBinding;
 
@@ -143,6 +144,17 @@
     }
 }
 
+/// Homes of a shared part among the candidates.
+struct Placement<'a> {
+    part: &'a PromptPart,
+    /// Positions of the candidates, the first home first.
+    order: Vec<usize>,
+    /// Number of homes.
+    homes: usize,
+    /// Load below which a home is preferred to other targets.
+    bound: f64,
+}
+
 /// The chosen target of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Choice {
@@ -200,38 +212,112 @@
         query: &TargetQuery<'_>,
     ) -> Result<Choice, NoTarget> {
         let candidates = candidates(now, directory, query);
+        if let Some(part) = counted_part(query)
+            && !candidates.is_empty()
+        {
+            let popularity = self.popularity(query.service);
+            popularity.count_request(now, part.id, shared_tokens(query.parts));
+        }
+        self.decide(now, directory, query, &candidates).1
+    }
+
+    /// Where the request in `query` would go now, and why. Counts nothing.
+    #[must_use]
+    pub fn preview<'a>(
+        &self,
+        now: Moment,
+        directory: &'a Directory,
+        query: &TargetQuery<'a>,
+    ) -> Preview<'a> {
+        let candidates = candidates(now, directory, query);
+        let known = self.popularity.get(query.service);
+        let mut popularity = known.cloned().unwrap_or_default();
+        if let Some(part) = counted_part(query) {
+            popularity.count_request(now, part.id, shared_tokens(query.parts));
+        }
+        let counted = Self {
+            domain: self.domain.clone(),
+            bound: self.bound.clone(),
+            popularity: BTreeMap::from([(query.service.clone(), popularity)]),
+        };
+        let (placement, choice) = counted.decide(now, directory, query, &candidates);
+        let key = |position: &usize| candidates[*position].target.key;
+        Preview {
+            targets: preview::targets(now, directory, query, &candidates),
+            placement: placement.map(|placement| PartPlacement {
+                part: placement.part.id,
+                homes: placement.homes,
+                order: placement.order.iter().map(key).collect(),
+                bound: placement.bound,
+            }),
+            choice,
+        }
+    }
+
+    /// Chooses a target, once the request is counted.
+    fn decide<'a>(
+        &self,
+        now: Moment,
+        directory: &Directory,
+        query: &TargetQuery<'a>,
+        candidates: &[Candidate<'_>],
+    ) -> (Option<Placement<'a>>, Result<Choice, NoTarget>) {
         if candidates.is_empty() {
             let has_others = directory.in_use(query.service).next().is_some();
-            return Err(if has_others {
+            let reason = if has_others {
                 NoTarget::NoneOfVersion
             } else {
                 NoTarget::NoneInUse
-            });
+            };
+            return (None, Err(reason));
         }
-        let bounds = self.bounds(&candidates, query.preference.bound.as_ref());
+        let bounds = self.bounds(candidates, query.preference.bound.as_ref());
         let shared_part = placement_parts(query.parts).last();
-        let choice = match shared_part {
-            Some(part) => self.choose_home(now, directory, &candidates, query, (part, bounds)),
-            None => self.choose_least_loaded(&candidates, query, bounds),
+        let placement = shared_part.map(|part| self.place(now, candidates, query, (part, bounds)));
+        let choice = match &placement {
+            Some(placement) => {
+                self.choose_home(now, directory, candidates, query, (placement, bounds))
+            }
+            None => self.choose_least_loaded(candidates, query, bounds),
         };
-        choice.ok_or_else(|| why_unavailable(now, &candidates))
+        let choice = choice.ok_or_else(|| why_unavailable(now, candidates));
+        (placement, choice)
     }
 
-    fn choose_home(
-        &mut self,
+    /// Ranks the candidates as homes of a shared part.
+    fn place<'a>(
+        &self,
         now: Moment,
-        directory: &Directory,
         candidates: &[Candidate<'_>],
         query: &TargetQuery<'_>,
-        (part, bounds): (&PromptPart, Bounds),
-    ) -> Option<Choice> {
+        (part, bounds): (&'a PromptPart, Bounds),
+    ) -> Placement<'a> {
         let names = candidates
             .iter()
             .map(|candidate| candidate.target.entry.id.as_str());
-        let order = rendezvous_order(part.id, names);
-        let homes = self.home_count(now, query, part, candidates.len());
         let reuse_value = self.reuse_value(query);
-        let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value);
+        Placement {
+            part,
+            order: rendezvous_order(part.id, names),
+            homes: self.home_count(now, query, part, candidates.len()),
+            bound: bounds.home_bound(query.preference.reuse_weight * reuse_value),
+        }
+    }
+
+    fn choose_home(
+        &self,
+        now: Moment,
+        directory: &Directory,
+        candidates: &[Candidate<'_>],
+        query: &TargetQuery<'_>,
+        (placement, bounds): (&Placement<'_>, Bounds),
+    ) -> Option<Choice> {
+        let Placement {
+            part,
+            ref order,
+            homes,
+            bound,
+        } = *placement;
         let suits = |position: &&usize| {
             let candidate = &candidates[**position];
             candidate.is_usable && candidate.is_healthy && candidate.load < bound
@@ -306,30 +392,27 @@
     /// How much the reuse of the shared parts is worth, from 0 to 1, compared with the other
     /// requests of the service. A chat with a short prompt is moved at little cost, and takes as
     /// much load along as one with a long prompt.
-    fn reuse_value(&mut self, query: &TargetQuery<'_>) -> f64 {
-        let mean = self.popularity(query.service).mean_tokens().max(1.0);
+    fn reuse_value(&self, query: &TargetQuery<'_>) -> f64 {
+        let popularity = self.popularity.get(query.service);
+        let mean = popularity.map_or(0.0, Popularity::mean_tokens).max(1.0);
         (f64::from(shared_tokens(query.parts)) / mean).min(1.0)
     }
 
-    /// Counts a request for `part` and returns the number of homes that its traffic share requires.
+    /// Number of homes that the traffic share of `part` requires.
     #[expect(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss
     )]
     fn home_count(
-        &mut self,
+        &self,
         now: Moment,
         query: &TargetQuery<'_>,
         part: &PromptPart,
         targets: usize,
     ) -> usize {
-        let popularity = self.popularity(query.service);
-        let share = if query.permits_denied == 0 {
-            popularity.count_request(now, part.id, shared_tokens(query.parts))
-        } else {
-            popularity.share(now, part.id)
-        };
+        let popularity = self.popularity.get(query.service);
+        let share = popularity.map_or(0.0, |popularity| popularity.share(now, part.id));
         let homes = (share * targets as f64 / MAX_MEAN_LOADS_PER_HOME).ceil() as usize;
         homes.clamp(1, targets)
     }
@@ -372,6 +455,12 @@
     }
 }
 
+/// The part by which a request is counted, once for all of its permits.
+fn counted_part<'a>(query: &TargetQuery<'a>) -> Option<&'a PromptPart> {
+    let part = placement_parts(query.parts).last();
+    part.filter(|_| query.permits_denied == 0)
+}
+
 /// The parts of a prompt that other requests may share: all but the last.
 #[must_use]
 pub fn shared_prompt_parts(parts: &[PromptPart]) -> &[PromptPart] {
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -161,6 +161,13 @@
             .map(|position| &self.workspaces[self.keys[position].workspace])
     }
 
+    /// Finds a workspace by name.
+    #[must_use]
+    pub fn workspace_named(&self, name: &str) -> Option<&Workspace> {
+        let mut workspaces = self.workspaces.iter();
+        workspaces.find(|workspace| workspace.name == name)
+    }
+
     /// Limits that apply to all callers.
     #[must_use]
     pub fn limits(&self) -> &CallerLimits {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -4,11 +4,13 @@
 mod candidates;
 pub mod choice;
 pub mod config;
+pub mod exclusion;
 pub mod fleet_sample;
 pub mod home_regions;
 pub mod idle_connection_limit;
 pub mod load;
 pub mod popularity;
+pub mod preview;
 pub mod profile_route;
 pub mod rendezvous;
 pub mod route;
@@ -18,9 +20,11 @@
     shared_prompt_parts,
 };
 pub use config::{CallerLimits, RoutingConfig, Service, Workspace};
+pub use exclusion::Exclusion;
 pub use fleet_sample::{FleetSample, Observations, TargetLoad};
 pub use home_regions::{Homes, Regions};
 pub use idle_connection_limit::idle_connection_limit;
 pub use load::{LoadView, ReportedLoad};
 pub use popularity::{PartRequests, PartShare, Popularity};
+pub use preview::{PartPlacement, Preview, TargetPreview};
 pub use route::{Backend, Route, RouteKind};
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -6,7 +6,7 @@
 
 use lapismoor_core::Moment;
 use lapismoor_core::admission::gate::{
-    Admission, Gate, GateLimits, MIN_RETRY_AFTER, Ticket, max_wait,
+    Admission, Gate, GateLimits, GatePreview, MIN_RETRY_AFTER, Ticket, max_wait,
 };
 use lapismoor_core::admission::{Priority, Refusal, gate_limits};
 use lapismoor_core::ids::ServiceId;
@@ -106,6 +106,16 @@
         });
         act(&mut services[position].1)
     }
+
+    /// The gate of a service as it is now.
+    fn gate(&self, service: &ServiceId) -> Gate {
+        let services = self.services.borrow();
+        let found = services.binary_search_by(|(known, _)| known.cmp(service));
+        found.map_or_else(
+            |_| Gate::default(),
+            |position| services[position].1.gate.clone(),
+        )
+    }
 }
 
 impl Edge {
@@ -157,6 +167,15 @@
         })
     }
 
+    /// What [`Self::acquire_permit`] would decide now. Changes nothing.
+    pub(crate) fn preview_permit(&self, request: &PermitRequest<'_>) -> GatePreview {
+        let now = self.now();
+        let max_wait = max_wait(request.latency_objective, request.received, now);
+        let limits = self.gate_limits(request.service);
+        let gate = self.admission.gate(request.service);
+        gate.preview(now, &limits, request.priority, max_wait)
+    }
+
     fn new_permit(self: &Rc<Self>, service: &ServiceId) -> Permit {
         Permit {
             edge: Rc::clone(self),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,10 @@
 };
 pub use listeners::Listeners;
 pub use logging::{LogQueue, LoggingError, flush_at_exit, start as start_logging};
+pub use serve::dry_run::{
+    AdmissionReport, ChoiceReport, DryRun, DryRunQuery, HomeReport, PlacementReport, RefusalReport,
+    TargetReport,
+};
 pub use settings::{EdgeSettings, FleetLimits, Tuning};
 pub use start::{StartError, run};
 pub use status::{Status, TargetStatus};
--- a/crates/edge/src/permits.rs
+++ b/crates/edge/src/permits.rs
@@ -250,10 +250,28 @@
     /// room in `room_in`.
     pub(crate) fn limit_retry_after(&self, service: &ServiceId, room_in: Duration) -> Duration {
         let now = self.now();
-        let mut state = self.state.borrow_mut();
+        let permitted_per_s = self.permitted_per_s(service);
+        let returns = &mut self.state.borrow_mut().returns;
+        returns.next(now, service, room_in, permitted_per_s)
+    }
+
+    /// What [`Self::limit_retry_after`] would return now. Plans no return.
+    pub(crate) fn preview_limit_retry_after(
+        &self,
+        service: &ServiceId,
+        room_in: Duration,
+    ) -> Duration {
+        let permitted_per_s = self.permitted_per_s(service);
+        let mut returns = self.state.borrow().returns.clone();
+        returns.next(self.now(), service, room_in, permitted_per_s)
+    }
+
+    /// Requests per second that this daemon was permitted lately at the targets of a service.
+    fn permitted_per_s(&self, service: &ServiceId) -> f64 {
+        let now = self.now();
+        let state = self.state.borrow();
         let targets = state.directory.in_use(service);
-        let permitted_per_s: f64 = targets.map(|target| target.limit.share_per_s(now)).sum();
-        state.returns.next(now, service, room_in, permitted_per_s)
+        targets.map(|target| target.limit.share_per_s(now)).sum()
     }
 }
 
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -14,7 +14,7 @@
     AttemptCounts, AttemptEnd, MAX_SOUND_SILENCE, NextStep, Obstacle, OverdueRequest, RetryPolicy,
     may_replace,
 };
-use lapismoor_core::routing::{Choice, Homes, NoTarget, TargetQuery};
+use lapismoor_core::routing::{Choice, Homes, NoTarget, PromptPart, TargetQuery};
 use lapismoor_core::stream::VersionBinding;
 use opentelemetry::trace::SpanKind;
 
@@ -36,7 +36,7 @@
 /// Time until a request may find room that was not tried in favour of others.
 const OVERLOAD_WAIT: Duration = Duration::from_millis(500);
 /// Number of permits after which a request asks for none.
-const ASKS_NO_PERMIT: usize = usize::MAX;
+pub(super) const ASKS_NO_PERMIT: usize = usize::MAX;
 /// Time between two looks for a target while there is none.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -181,13 +181,11 @@
     /// Why the request is not tried: its home has no room, and that of others is left to more urgent
     /// requests. `None` if its home needs no permit.
     pub(crate) fn reason_for_overload(&self) -> Option<NoTarget> {
-        let (target, left) = match self.choose(&[], false, ASKS_NO_PERMIT) {
-            Ok(choice) => (choice.limited?, OVERLOAD_WAIT),
-            Err(NoTarget::Limited { left, target }) => (target, left),
-            Err(_) => return None,
-        };
-        report::limit_reached(self, target, Some(left), "refused");
-        Some(NoTarget::Limited { left, target })
+        let reason = overload_reason(self.choose(&[], false, ASKS_NO_PERMIT))?;
+        if let NoTarget::Limited { left, target } = reason {
+            report::limit_reached(self, target, Some(left), "refused");
+        }
+        Some(reason)
     }
 
     fn record_room(&self, has_found_room: bool) {
@@ -261,22 +259,18 @@
         let now = self.edge.now();
         // Requests that share a prompt part and were interrupted together would otherwise follow
         // the one that crashes targets from home to home.
-        let parts = if self.request.route.is_sticky && !self.has_crashed_targets() {
-            self.request.envelope.parts.as_slice()
-        } else {
+        let parts = if self.has_crashed_targets() {
             &[]
+        } else {
+            placement_parts(&self.request)
         };
         let query = TargetQuery {
-            service: &self.request.service,
             parts,
             version: self.version.get(),
-            request: request_hash(&self.request.envelope.id),
             tried,
             may_repeat_target,
-            preference: self.request.preference.clone(),
-            priority: &self.permit_priority,
-            homes: Homes::default(),
             permits_denied,
+            ..first_query(&self.request, &self.permit_priority)
         };
         let mut state = self.edge.state.borrow_mut();
         let state = &mut *state;
@@ -518,9 +512,48 @@
 /// Ranks that a route can have among requests with the same rank.
 const RANKS_WITHIN_RANK: u8 = 16;
 
+/// What determines the target of the first attempt of a request.
+pub(super) fn first_query<'a>(
+    request: &'a AdmittedRequest,
+    permit_priority: &'a Priority,
+) -> TargetQuery<'a> {
+    TargetQuery {
+        service: &request.service,
+        parts: placement_parts(request),
+        version: VersionBinding::Free,
+        request: request_hash(&request.envelope.id),
+        tried: &[],
+        may_repeat_target: false,
+        preference: request.preference.clone(),
+        priority: permit_priority,
+        homes: Homes::default(),
+        permits_denied: 0,
+    }
+}
+
+/// Why a request is not tried in favour of others, by the choice that it would get without asking for
+/// permits; `None` if its home needs none.
+pub(super) fn overload_reason(choice: Result<Choice, NoTarget>) -> Option<NoTarget> {
+    let (target, left) = match choice {
+        Ok(choice) => (choice.limited?, OVERLOAD_WAIT),
+        Err(NoTarget::Limited { left, target }) => (target, left),
+        Err(_) => return None,
+    };
+    Some(NoTarget::Limited { left, target })
+}
+
+/// The prompt parts by which a request is routed, if its route is sticky.
+fn placement_parts(request: &AdmittedRequest) -> &[PromptPart] {
+    if request.route.is_sticky {
+        &request.envelope.parts
+    } else {
+        &[]
+    }
+}
+
 /// A workspace's rank goes before that of the route, which decides between requests with the same
 /// one.
-fn permit_priority(request: &AdmittedRequest) -> Priority {
+pub(super) fn permit_priority(request: &AdmittedRequest) -> Priority {
     let rank = request.priority.rank.saturating_mul(RANKS_WITHIN_RANK);
     let rank_of_route = request.route.rank.min(RANKS_WITHIN_RANK - 1);
     Priority {
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod admitted_request;
 mod attempt;
 mod body;
+pub mod dry_run;
 mod job;
 mod report;
 mod responses;
@@ -47,7 +48,9 @@
     };
     guard.set_id(&envelope.id);
     edge.configuration_loaded().await;
-    let authorized = match authorize(&edge, &request, &envelope) {
+    let host = request.connection_info().host().to_owned();
+    let find_workspace = |config: &RoutingConfig| find_workspace(&edge, config, &envelope);
+    let authorized = match authorize(&edge, &host, request.path(), find_workspace) {
         Ok(authorized) => authorized,
         Err(refusal) => {
             report::refused(&edge, &envelope.id, received, &refusal);
@@ -86,24 +89,24 @@
     workspace: Option<Workspace>,
 }
 
-/// Finds the route of a request and checks the caller's key, if the route needs one.
+/// Finds the route of a request, and the caller's workspace if the route needs a key.
 fn authorize(
     edge: &Edge,
-    request: &HttpRequest,
-    envelope: &Envelope,
+    host: &str,
+    path: &str,
+    find_workspace: impl FnOnce(&RoutingConfig) -> Result<Workspace, Refusal>,
 ) -> Result<Authorized, Refusal> {
     if !edge.accepts_requests() {
         return Err(Refusal::Stopping);
     }
     let config = edge.config().ok_or(Refusal::NoConfiguration)?;
-    let connection = request.connection_info();
-    let Some(route) = config.route(host_name(connection.host()), request.path()) else {
+    let Some(route) = config.route(host_name(host), path) else {
         return Err(edge.unless_stale(Refusal::NoRoute));
     };
     let route = Rc::clone(route);
     let needs_key = config.has_workspaces() && !route.is_public;
     let workspace = if needs_key {
-        Some(find_workspace(edge, &config, envelope)?)
+        Some(find_workspace(&config)?)
     } else {
         None
     };
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -154,16 +154,27 @@
         };
         return give_up(job, &NextStep::PassOn, cause, last_failure);
     }
-    let refusal = match reason {
+    let refusal = refusal_without_target(reason, |left| {
+        job.edge.limit_retry_after(&job.request.service, left)
+    });
+    refuse(job, refusal)
+}
+
+/// The refusal of a request that was sent to no target. `limit_retry_after` returns when a caller may
+/// return if a target may have room within its limit after a time.
+pub(super) fn refusal_without_target(
+    reason: &NoTarget,
+    limit_retry_after: impl FnOnce(Duration) -> Duration,
+) -> Refusal {
+    match reason {
         NoTarget::NoneInUse => Refusal::NoTarget,
         NoTarget::NoneOfVersion => Refusal::StreamVersionGone,
         NoTarget::NoneReachable => Refusal::Unreachable,
         NoTarget::Limited { left, .. } => Refusal::TargetsLimited {
-            retry_after: job.edge.limit_retry_after(&job.request.service, *left),
+            retry_after: limit_retry_after(*left),
         },
         NoTarget::Paused { left } => Refusal::TargetsPaused { retry_after: *left },
-    };
-    refuse(job, refusal)
+    }
 }
 
 fn give_up(
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -22,6 +22,7 @@
 use crate::listeners::Listeners;
 use crate::profiles;
 use crate::serve;
+use crate::serve::dry_run::{DryRun, DryRunQuery};
 use crate::server;
 use crate::settings::EdgeSettings;
 use crate::spans::Spans;
@@ -188,11 +189,17 @@
 fn serve_metrics(edge: &Rc<Edge>, listener: TcpListener) {
     let for_metrics = Rc::clone(edge);
     let for_status = Rc::clone(edge);
+    let for_dry_run = Rc::clone(edge);
+    let dry_run = web::post().to(move |query: web::Json<DryRunQuery>| {
+        let report = DryRun::of(&for_dry_run, query.into_inner());
+        async move { HttpResponse::Ok().json(report) }
+    });
     let status = web::get().to(move || {
         let status = Status::of(&for_status);
         async move { HttpResponse::Ok().json(status) }
     });
-    let app = App::new().route("/status", status).route(
+    let app = App::new().route("/status", status);
+    let app = app.route("/where", dry_run).route(
         "/metrics",
         web::get().to(move || {
             let text = for_metrics.metrics.render();
