--- a/crates/edge/src/serve/dry_run.rs
+++ b/crates/edge/src/serve/dry_run.rs
@@ -197,7 +197,7 @@
             Err(refusal) => return self.refuse(&refusal),
         };
         self.route = Some(request.route.name.clone());
-        self.workspace = request.workspace.clone();
+        self.workspace.clone_from(&request.workspace);
         self.service = Some(request.service.clone());
         let gate = edge.preview_permit(&PermitRequest {
             service: &request.service,
--- a/crates/lapismoorctl/src/arguments.rs
+++ b/crates/lapismoorctl/src/arguments.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use bpaf::Bpaf;
+use compact_str::CompactString;
 
 /// Manage the configuration of a lapismoor fleet and inspect its state
 ///
@@ -43,6 +45,15 @@
         #[bpaf(positional("LOG"))]
         logs: Vec<PathBuf>,
     },
+    /// Explain where a request would go now, and why, without sending it
+    #[bpaf(command)]
+    Where {
+        #[bpaf(external(where_query))]
+        query: WhereQuery,
+        /// Operator address of the daemon
+        #[bpaf(positional("IP:PORT"))]
+        daemon: SocketAddr,
+    },
     /// Show the state of a daemon and its targets, with the age of the data
     #[bpaf(command)]
     Status {
@@ -52,6 +63,54 @@
     },
 }
 
+/// The request that `where` explains.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct WhereQuery {
+    /// Host that the caller names
+    #[bpaf(argument("HOST"), fallback(CompactString::default()))]
+    pub(crate) host: CompactString,
+    /// Path of the request
+    #[bpaf(argument("PATH"))]
+    pub(crate) path: CompactString,
+    /// Service instead of the one that the route selects
+    #[bpaf(argument("SERVICE"))]
+    pub(crate) service: Option<CompactString>,
+    /// Key of the caller
+    #[bpaf(argument("KEY"), env("LAPISMOOR_CALLER_KEY"), optional)]
+    pub(crate) key: Option<CompactString>,
+    /// Workspace of the caller, instead of a key
+    #[bpaf(argument("WORKSPACE"))]
+    pub(crate) workspace: Option<CompactString>,
+    /// Id of the request
+    #[bpaf(argument("REQUEST_ID"), fallback(CompactString::default()))]
+    pub(crate) request: CompactString,
+    /// Parts of the prompt, with hexadecimal ids and lengths in tokens
+    #[bpaf(argument("ID:TOKENS,..."), fallback(PromptParts::default()))]
+    pub(crate) parts: PromptParts,
+}
+
+/// Ids and lengths in tokens of the parts of a prompt.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PromptParts(pub(crate) Vec<(u64, u32)>);
+
+impl FromStr for PromptParts {
+    type Err = &'static str;
+
+    fn from_str(list: &str) -> Result<Self, Self::Err> {
+        let parts = list.split(',').filter(|part| !part.trim().is_empty());
+        let parts = parts.map(|part| {
+            let part = parse_part(part.trim());
+            part.ok_or("a part is not a hexadecimal id and a number of tokens")
+        });
+        parts.collect::<Result<_, _>>().map(Self)
+    }
+}
+
+fn parse_part(part: &str) -> Option<(u64, u32)> {
+    let (id, tokens) = part.split_once(':')?;
+    Some((u64::from_str_radix(id, 16).ok()?, tokens.parse().ok()?))
+}
+
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) enum ConfigCommand {
     /// Show the accepted configuration
--- a/crates/lapismoorctl/src/error.rs
+++ b/crates/lapismoorctl/src/error.rs
@@ -54,6 +54,14 @@
         daemon: std::net::SocketAddr,
         reason: String,
     },
+    #[snafu(display(
+        "{daemon} did not explain the request: {reason}; \
+         check the address, and whether the daemon runs and is of the same version"
+    ))]
+    NoDryRun {
+        daemon: std::net::SocketAddr,
+        reason: String,
+    },
     #[snafu(display(
         "conflict with another change: revision {revision} is accepted; \
          review it with 'lapismoorctl config show' and apply again"
@@ -72,7 +80,8 @@
             Self::NoAnswer { .. }
             | Self::NoConfig
             | Self::NoProfile { .. }
-            | Self::NoStatus { .. } => 1,
+            | Self::NoStatus { .. }
+            | Self::NoDryRun { .. } => 1,
             Self::NoStoreAddress
             | Self::Unreadable { .. }
             | Self::InvalidConfig { .. }
--- a/crates/lapismoorctl/src/main.rs
+++ b/crates/lapismoorctl/src/main.rs
@@ -9,6 +9,7 @@
 mod profile;
 mod status;
 mod store;
+mod where_to;
 
 use std::process::ExitCode;
 
@@ -57,6 +58,7 @@
         }
         Command::Explain { request, logs } => explain::explain(&request, &logs, json),
         Command::Status { daemon } => status::status(daemon, json).await,
+        Command::Where { query, daemon } => where_to::where_to(daemon, &query, json).await,
         Command::Fleet => fleet::fleet(&store::connect(arguments.key_value)?, json).await,
     }
 }
