--- a/crates/lapismoorctl/src/where_to.rs
+++ b/crates/lapismoorctl/src/where_to.rs
@@ -95,7 +95,9 @@
     if let Some(placement) = &report.placement {
         push_placement(&mut text, placement);
     }
-    push_line(&mut text, "  targets:");
+    if !report.targets.is_empty() {
+        push_line(&mut text, "  targets:");
+    }
     for target in &report.targets {
         push_line(&mut text, &format!("    {}", render_target(target)));
     }
