--- a/crates/core/src/admission/gate.rs
+++ b/crates/core/src/admission/gate.rs
@@ -63,8 +63,8 @@
         pub limit: usize,
         /// Queued requests that would be sent before it.
         pub ahead: usize,
-        /// Expected wait; zero if it would be sent at once.
-        pub expected_wait: Duration,
+        /// Expected wait; zero if it would be sent at once, `None` if as much arrives as ends.
+        pub expected_wait: Option<Duration>,
         /// The decision.
         pub admission: Admission,
     }
@@ -93,7 +93,7 @@
 
 impl GateLimits {
     /// In-flight limit for requests of a rank.
-    fn for_rank(&self, rank: u8) -> usize {
+    pub(super) fn for_rank(&self, rank: u8) -> usize {
         if rank == 0 {
             return self.in_flight;
         }
@@ -180,8 +180,8 @@
         let limit = limits.for_rank(*rank);
         let admission = self.clone().admit(now, limits, priority, max_wait);
         let expected_wait = match admission {
-            Admission::Admit => Duration::ZERO,
-            _ => self.expected_wait(ahead, limit),
+            Admission::Admit => Some(Duration::ZERO),
+            _ => Some(self.expected_wait(ahead, limit)),
         };
         GatePreview {
             in_flight: self.in_flight,
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -6,13 +6,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::admission::LimitView;
+use crate::admission::{LimitView, RequestRate};
 use crate::clock::Moment;
-use crate::ids::{TargetId, TargetKey, VersionHash, version_hash};
+use crate::ids::{ServiceId, TargetId, TargetKey, VersionHash, version_hash};
 use crate::membership::entry::{TargetEntry, TargetIncarnation, TargetState};
+use crate::membership::evacuation::Evacuations;
+use crate::membership::warmth::{Coldness, Warmth};
 use crate::retry::{Breaker, Pause};
-use crate::routing::LoadView;
 use crate::routing::fleet_sample::{TargetHash, target_hash};
+use crate::routing::home_regions::{Homes, Regions};
+use crate::routing::{ColdLimit, LoadView};
 
 /// Shortest store outage after which the entries of live targets may have expired: one heartbeat
 /// interval of a target.
@@ -52,6 +55,12 @@
     pub pause: Pause,
     /// Limit that the target names.
     pub limit: LimitView,
+    /// How warm the target is.
+    pub warmth: Warmth,
+    /// Limit while it is cold, by the configuration of its service.
+    pub cold_limit: Option<ColdLimit>,
+    /// Whether [`Directory::warmth_changes`] last reported the target as cold.
+    is_reported_cold: bool,
     /// Load as this daemon estimates it.
     pub load: LoadView,
     /// When this daemon last received data from the target.
@@ -77,6 +86,15 @@
     Returned,
 }
 
+/// A target has turned cold or warm.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WarmthChange {
+    /// The target.
+    pub target: TargetId,
+    /// For how long it stays cold, and how that is known; `None` if it is warm now.
+    pub cold: Option<(Duration, Coldness)>,
+}
+
 /// Known targets, listed or not.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -87,12 +105,21 @@
     /// longer, or again after it was restored. Invariant: sorted; at most [`MAX_SAID_LEAVING`]
     /// long.
     said_leaving: Vec<(TargetIncarnation, SocketAddr, Moment)>,
+    /// Limits of cold targets. Invariant: sorted by service.
+    cold_limits: Vec<(ServiceId, ColdLimit)>,
+    /// Targets whose entries cannot be parsed. Invariant: sorted; at most [`MAX_UNREADABLE`] long.
+    unreadable: Vec<TargetId>,
     /// End of the grace period for entries that expired during an outage of the store.
     relisting_until: Option<Moment>,
+    /// Failure domains whose targets get no requests.
+    pub evacuations: Evacuations,
+    regions: Regions,
 }
 
 /// Maximum number of incarnations whose announced end is remembered; the oldest one is forgotten.
 const MAX_SAID_LEAVING: usize = 1_024;
+/// Maximum number of targets whose unreadable entries are remembered, and reported.
+const MAX_UNREADABLE: usize = 256;
 /// Minimum time for which a leaving target keeps running to finish its requests.
 const MIN_DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time for which a leaving target stays in the directory. Its streams may continue, and its cache
@@ -100,6 +127,48 @@
 const LEAVING_RETENTION: Duration = Duration::from_secs(30);
 
 impl Directory {
+    /// A directory without targets. An evacuation must be complete within `evacuate_within`.
+    #[must_use]
+    pub fn new(regions: Regions, evacuate_within: Duration) -> Self {
+        Self {
+            evacuations: Evacuations::new(evacuate_within),
+            regions,
+            ..Self::default()
+        }
+    }
+
+    /// The regions of the failure domains.
+    #[must_use]
+    pub fn regions(&self) -> &Regions {
+        &self.regions
+    }
+
+    /// Whether a target is in one of the home regions.
+    #[must_use]
+    pub fn is_in_homes(&self, target: &KnownTarget, homes: &Homes<'_>) -> bool {
+        homes.are_everywhere() || homes.allow(self.regions.of(&target.entry.domain))
+    }
+
+    /// Whether the target's failure domain is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, target: &KnownTarget) -> bool {
+        self.evacuations.contains(&target.entry.domain)
+    }
+
+    /// Whether no request may be sent to a target any more because its failure domain is evacuated.
+    #[must_use]
+    pub fn has_been_left(&self, now: Moment, key: TargetKey) -> bool {
+        self.get(key)
+            .is_some_and(|target| self.evacuations.has_left(now, &target.entry.domain))
+    }
+
+    /// Targets of a service that are not leaving, those of evacuated failure domains included.
+    pub fn listed<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownTarget> {
+        self.targets.iter().filter(move |target| {
+            target.entry.service == service && target.standing != Standing::Leaving
+        })
+    }
+
     /// All known targets, sorted by id.
     #[must_use]
     pub fn targets(&self) -> &[KnownTarget] {
@@ -134,6 +203,55 @@
         }
     }
 
+    /// Calls `change` with the warmth of the known targets that messages between daemons call `hash`.
+    pub fn for_each_warmth(
+        &mut self,
+        hash: TargetHash,
+        mut change: impl FnMut(&mut Warmth, &TargetId),
+    ) {
+        for target in self.targets.iter_mut().filter(|one| one.hash == hash) {
+            change(&mut target.warmth, &target.entry.id);
+        }
+    }
+
+    /// Replaces the limits of cold targets.
+    pub fn set_cold_limits(&mut self, mut limits: Vec<(ServiceId, ColdLimit)>) {
+        limits.sort_by(|left, right| left.0.cmp(&right.0));
+        self.cold_limits = limits;
+        for target in &mut self.targets {
+            target.cold_limit = cold_limit(&self.cold_limits, &target.entry.service);
+        }
+    }
+
+    /// Records that the targets of a failure domain may have become cold unseen.
+    pub fn domain_may_be_cold(&mut self, now: Moment, domain: &str) {
+        let targets = self.targets.iter_mut();
+        for target in targets.filter(|target| target.entry.domain == domain) {
+            if let Some(limit) = target.cold_limit {
+                target.warmth.record_possibly_cold(now, limit.start);
+            }
+        }
+    }
+
+    /// Targets that have turned cold or warm since the last call, and the number of cold ones.
+    pub fn warmth_changes(&mut self, now: Moment) -> (Vec<WarmthChange>, usize) {
+        let mut changes = Vec::new();
+        let mut cold_targets = 0;
+        for target in &mut self.targets {
+            let cold = target.cold_rate(now);
+            cold_targets += usize::from(cold.is_some());
+            if cold.is_some() != target.is_reported_cold {
+                target.is_reported_cold = cold.is_some();
+                let left = target.cold_left(now);
+                changes.push(WarmthChange {
+                    target: target.entry.id.clone(),
+                    cold: cold.map(|(_, coldness)| (left, coldness)),
+                });
+            }
+        }
+        (changes, cold_targets)
+    }
+
     /// Known target that messages between daemons call `hash`.
     #[must_use]
     pub fn find_by_hash(&self, hash: TargetHash) -> Option<&KnownTarget> {
@@ -168,9 +286,8 @@
 
     /// Targets of a service that get new requests.
     pub fn in_use<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a KnownTarget> {
-        self.targets.iter().filter(move |target| {
-            target.entry.service == service && target.standing != Standing::Leaving
-        })
+        self.listed(service)
+            .filter(|target| !self.is_evacuated(target))
     }
 
     /// Targets of a service whose cache can be fetched: those in use, and those that started
@@ -189,6 +306,7 @@
 
     /// Applies the current entry of a target in the store.
     pub fn apply(&mut self, now: Moment, entry: TargetEntry) -> DirectoryChange {
+        self.forget_unreadable(&entry.id);
         let position = match self.position(&entry.id) {
             Ok(position) => position,
             Err(position) => {
@@ -227,6 +345,7 @@
     /// Applies the removal of an entry from the store. Returns the target unless it is unknown or
     /// was already leaving.
     pub fn remove(&mut self, now: Moment, id: &str) -> Option<&KnownTarget> {
+        self.forget_unreadable(id);
         let position = self.position(id).ok()?;
         let may_have_expired = self.relisting_until.is_some_and(|until| now < until);
         let target = &mut self.targets[position];
@@ -250,6 +369,23 @@
         self.targets[position].leave(now)
     }
 
+    /// Records that the entry of a target, known or not, cannot be parsed. Returns whether it is the
+    /// first such entry since the last one that was parsed, or removed.
+    pub fn record_unreadable(&mut self, id: &str) -> bool {
+        let found = self.unreadable.binary_search_by(|one| one.as_str().cmp(id));
+        match found {
+            Err(position) if self.unreadable.len() < MAX_UNREADABLE => {
+                self.unreadable.insert(position, id.into());
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn forget_unreadable(&mut self, id: &str) {
+        self.unreadable.retain(|one| one.as_str() != id);
+    }
+
     /// Records that a target said in an answer that it leaves. This holds for its incarnation,
     /// whatever the store lists. Returns whether that changed its standing.
     pub fn record_said_leaving(&mut self, now: Moment, key: TargetKey) -> bool {
@@ -337,12 +473,18 @@
             breaker: Breaker::default(),
             pause: Pause::default(),
             limit: LimitView::default(),
+            warmth: Warmth::default(),
+            cold_limit: cold_limit(&self.cold_limits, &entry.service),
+            is_reported_cold: false,
             load: LoadView::default(),
             last_received_at: now,
             known_since: now,
             left_at: None,
             entry,
         };
+        target
+            .warmth
+            .record(now, now, target.entry.warmup_remaining);
         if target.entry.state == TargetState::Draining || self.has_said_leaving(&target.entry) {
             target.leave(now);
         }
@@ -380,9 +522,35 @@
         self.breaker.is_closed(now) && self.pause.left(now).is_zero()
     }
 
+    /// Requests per second that the target takes while it is cold, and how it is known to be;
+    /// `None` if it is warm, or its service has no such limit.
+    #[must_use]
+    pub fn cold_rate(&self, now: Moment) -> Option<(RequestRate, Coldness)> {
+        let limit = self.cold_limit?;
+        Some((limit.rate, self.warmth.coldness(now)?))
+    }
+
+    /// Whether requests to the target need a permit: it names a limit, or is cold.
+    #[must_use]
+    pub fn needs_permit(&self, now: Moment) -> bool {
+        self.limit.rate().is_some() || self.cold_rate(now).is_some()
+    }
+
+    /// Time for which the target stays cold; zero if it is warm, or its service has no limit of cold
+    /// targets.
+    #[must_use]
+    pub fn cold_left(&self, now: Moment) -> Duration {
+        let limit = self.cold_limit;
+        limit.map_or(Duration::ZERO, |limit| self.warmth.left(now, limit.start))
+    }
+
     fn update(&mut self, now: Moment, entry: TargetEntry, said_leaving: bool) -> DirectoryChange {
         let is_draining = entry.state == TargetState::Draining || said_leaving;
         self.hash = target_hash(&entry.incarnation());
+        let is_back = self.standing != Standing::InUse;
+        if is_back || self.entry.warmup_remaining != entry.warmup_remaining {
+            self.warmth.record(now, now, entry.warmup_remaining);
+        }
         self.entry = entry;
         if is_draining {
             return if self.leave(now) {
@@ -407,3 +575,8 @@
         is_change
     }
 }
+
+fn cold_limit(limits: &[(ServiceId, ColdLimit)], service: &str) -> Option<ColdLimit> {
+    let found = limits.binary_search_by(|(known, _)| known.as_str().cmp(service));
+    found.ok().map(|position| limits[position].1)
+}
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -22,13 +22,34 @@
 pub(super) struct Candidate<'a> {
     pub(super) target: &'a KnownTarget,
     pub(super) load: f64,
+    /// Time that work takes at this moment, as a multiple of the usual.
+    pub(super) pace: f64,
+    /// Load times the pace of the last seconds, in requests at the usual pace.
+    pub(super) lasting_work: f64,
     pub(super) is_usable: bool,
     pub(super) is_healthy: bool,
+    /// Whether it has no limit and takes what others don't take within theirs.
+    pub(super) takes_overflow: bool,
     /// Time until the target may have room within its limit; zero if it may now.
     pub(super) room_in: Duration,
 }
 
 impl Candidate<'_> {
+    /// Whether the target tells how many requests it has. The answer times of the others include the
+    /// time in their queues.
+    pub(super) fn reports_load(&self) -> bool {
+        self.target.load.has_report()
+    }
+
+    /// Load with one request more, in requests at the usual pace, less that one.
+    pub(super) fn work(&self) -> f64 {
+        if self.reports_load() {
+            self.load * self.pace + (self.pace - 1.0)
+        } else {
+            self.load
+        }
+    }
+
     pub(super) fn has_limit(&self) -> bool {
         self.target.limit.rate().is_some()
     }
@@ -61,8 +82,11 @@
 
 /// Time until a target may have room for a request within its limit.
 fn room_in(now: Moment, target: &KnownTarget, query: &TargetQuery<'_>) -> Duration {
+    if !target.needs_permit(now) {
+        return Duration::ZERO;
+    }
     let room_in = target.limit.room_in(now, query.priority);
-    if query.permits_denied < MAX_PERMITS_DENIED || target.limit.rate().is_none() {
+    if query.permits_denied < MAX_PERMITS_DENIED {
         return room_in;
     }
     room_in.max(PERMIT_PAUSE)
@@ -76,15 +100,37 @@
         .min_by(|left, right| candidates[*left].load.total_cmp(&candidates[*right].load))
 }
 
-/// The targets that may serve the request in `query`, and the room that each has.
+/// Why there is no candidate.
+pub(super) fn why_none(directory: &Directory, query: &TargetQuery<'_>) -> NoTarget {
+    let mut is_listed = false;
+    let mut is_in_homes = false;
+    for target in directory.listed(query.service) {
+        is_listed = true;
+        if directory.is_in_homes(target, &query.homes) {
+            is_in_homes = true;
+            if query.version.allows(target.version) {
+                return NoTarget::Evacuated;
+            }
+        }
+    }
+    match (is_listed, is_in_homes) {
+        (false, _) => NoTarget::NoneInUse,
+        (true, false) => NoTarget::NoneInHomes,
+        (true, true) => NoTarget::NoneOfVersion,
+    }
+}
+
+/// The targets that may serve the request in `query`, and the room that each has. A request that
+/// `moves_first` leaves a failure domain as soon as that is evacuated.
 pub(super) fn candidates<'a>(
     now: Moment,
     directory: &'a Directory,
     query: &TargetQuery<'a>,
+    moves_first: bool,
 ) -> Vec<Candidate<'a>> {
-    let targets = directory.in_use(query.service);
+    let targets = directory.listed(query.service);
     let targets: Vec<&KnownTarget> = targets
-        .filter(|target| bar(target, query).is_none())
+        .filter(|target| bar(now, directory, target, query, moves_first).is_none())
         .collect();
     let reports = targets
         .iter()
@@ -99,14 +145,18 @@
         |target: &KnownTarget| is_untried(target) || (may_repeat && target.is_available(now));
     let to_candidate = |target: &'a KnownTarget| Candidate {
         load: target.load.estimate(now, mean_others),
+        pace: target.load.pace.factor(now),
+        lasting_work: target.load.estimate(now, mean_others) * target.load.pace.lasting_factor(now),
         is_usable: may_get_request(target),
         is_healthy: !target.breaker.is_failing(now),
+        takes_overflow: false,
         room_in: room_in(now, target, query),
         target,
     };
     let mut candidates: Vec<Candidate<'_>> = targets.into_iter().map(to_candidate).collect();
     if candidates.iter().any(Candidate::has_limit) {
         for candidate in candidates.iter_mut().filter(|one| !one.has_limit()) {
+            candidate.takes_overflow = true;
             candidate.room_in = overflow_wait(candidate);
         }
     }
--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -11,10 +11,12 @@
 
 use crate::admission::Priority;
 use crate::clock::Moment;
-use crate::ids::{FailureDomain, ServiceId, TargetKey};
+use crate::ids::{FailureDomain, ServiceId, TargetKey, hash_parts};
 use crate::membership::{Directory, KnownTarget};
-use crate::routing::candidates::{Candidate, candidates, least_loaded, why_unavailable};
+use crate::routing::candidates::{Candidate, candidates, least_loaded, why_none, why_unavailable};
 use crate::routing::home_regions::Homes;
+use crate::routing::homecoming::takes_part;
+use crate::routing::pace::TypicalTime;
 use crate::routing::popularity::Popularity;
 use crate::routing::preview::{self, PartPlacement, Preview};
 use crate::routing::rendezvous::{rendezvous_first, rendezvous_order};
@@ -29,6 +31,8 @@
 /// Added to the load of targets in other failure domains when loads are compared, so that one of
 /// them is preferred only if it has this many requests fewer in flight.
 const DOMAIN_COST_REQUESTS: f64 = 1.0;
+/// Ratio up to which two paces count as equal: answer times of single requests differ by as much.
+const EQUAL_PACES: f64 = 1.25;
 
 value! {
     /// A contiguous part of a prompt, the unit of cache reuse.
@@ -63,8 +67,12 @@
     pub enum NoTarget {
         /// The service has no target in use.
         NoneInUse,
-        /// No target in use has the software version at which the stream began.
+        /// No target is in a home region of the request.
+        NoneInHomes,
+        /// No target has the software version at which the stream began.
         NoneOfVersion,
+        /// The failure domains of all targets that could get the request are evacuated.
+        Evacuated,
         /// All targets in use were already tried or are unreachable.
         NoneReachable,
         /// All targets that could get the request have reached their limits.
@@ -132,6 +140,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Bounds {
     mean: f64,
+    /// Mean of the load times the pace, in requests at the usual pace.
+    mean_work: f64,
     /// Load at which further requests go to other targets.
     max_load: f64,
 }
@@ -142,6 +152,12 @@
         let spread = (self.max_load - self.mean).max(0.0);
         self.mean.min(self.max_load) + reuse_weight * spread
     }
+
+    /// Work below which a home is preferred to other targets, if it is one at a load below
+    /// `home_bound`. Where all targets are equally slow, no other one is quicker.
+    fn work_bound(&self, home_bound: f64) -> f64 {
+        home_bound + (self.mean_work - self.mean).max(0.0)
+    }
 }
 
 /// Homes of a shared part among the candidates.
@@ -153,6 +169,8 @@
     homes: usize,
     /// Load below which a home is preferred to other targets.
     bound: f64,
+    /// Work below which it is, in requests at the usual pace.
+    work_bound: f64,
 }
 
 /// The chosen target of a request.
@@ -178,6 +196,8 @@
     domain: FailureDomain,
     bound: LoadBound,
     popularity: BTreeMap<ServiceId, Popularity>,
+    /// Answer times of services whose targets report no load.
+    typical_times: BTreeMap<ServiceId, TypicalTime>,
 }
 
 impl Chooser {
@@ -188,6 +208,7 @@
             domain,
             bound,
             popularity: BTreeMap::new(),
+            typical_times: BTreeMap::new(),
         }
     }
 
@@ -201,6 +222,25 @@
         self.popularity.iter_mut()
     }
 
+    /// Records the time of an answer of a target that states neither its load nor its pace, from the
+    /// end of the request to the head of the answer.
+    pub fn record_answer_time(
+        &mut self,
+        now: Moment,
+        directory: &mut Directory,
+        target: TargetKey,
+        time: Duration,
+    ) {
+        let Some(known) = directory.get_mut(target) else {
+            return;
+        };
+        let service = known.entry.service.clone();
+        let typical = self.typical_times.entry(service).or_default();
+        if let Some(percent) = typical.record(known.load.time_at_target(time)) {
+            known.load.pace.record(now, percent);
+        }
+    }
+
     /// Chooses a target for the request in `query`.
     ///
     /// # Errors
@@ -211,7 +251,8 @@
         directory: &Directory,
         query: &TargetQuery<'_>,
     ) -> Result<Choice, NoTarget> {
-        let candidates = candidates(now, directory, query);
+        let moves_first = self.moves_first(now, directory, query);
+        let candidates = candidates(now, directory, query, moves_first);
         if let Some(part) = counted_part(query)
             && !candidates.is_empty()
         {
@@ -229,7 +270,8 @@
         directory: &'a Directory,
         query: &TargetQuery<'a>,
     ) -> Preview<'a> {
-        let candidates = candidates(now, directory, query);
+        let moves_first = self.moves_first(now, directory, query);
+        let candidates = candidates(now, directory, query, moves_first);
         let known = self.popularity.get(query.service);
         let mut popularity = known.cloned().unwrap_or_default();
         if let Some(part) = counted_part(query) {
@@ -239,21 +281,37 @@
             domain: self.domain.clone(),
             bound: self.bound.clone(),
             popularity: BTreeMap::from([(query.service.clone(), popularity)]),
+            typical_times: BTreeMap::new(),
         };
         let (placement, choice) = counted.decide(now, directory, query, &candidates);
         let key = |position: &usize| candidates[*position].target.key;
+        let is_cold =
+            |position: &&usize, part| !takes_part(now, candidates[**position].target, part);
         Preview {
-            targets: preview::targets(now, directory, query, &candidates),
+            targets: preview::targets(now, directory, query, &candidates, moves_first),
             placement: placement.map(|placement| PartPlacement {
                 part: placement.part.id,
                 homes: placement.homes,
                 order: placement.order.iter().map(key).collect(),
+                cold: placement
+                    .order
+                    .iter()
+                    .filter(|position| is_cold(position, placement.part.id))
+                    .map(key)
+                    .collect(),
                 bound: placement.bound,
+                work_bound: placement.work_bound,
             }),
             choice,
         }
     }
 
+    /// Whether the request leaves a failure domain as soon as that is evacuated.
+    fn moves_first(&self, now: Moment, directory: &Directory, query: &TargetQuery<'_>) -> bool {
+        let has_evacuations = !directory.evacuations.domains().is_empty();
+        has_evacuations && self.is_popular(now, directory, query)
+    }
+
     /// Chooses a target, once the request is counted.
     fn decide<'a>(
         &self,
@@ -263,13 +321,7 @@
         candidates: &[Candidate<'_>],
     ) -> (Option<Placement<'a>>, Result<Choice, NoTarget>) {
         if candidates.is_empty() {
-            let has_others = directory.in_use(query.service).next().is_some();
-            let reason = if has_others {
-                NoTarget::NoneOfVersion
-            } else {
-                NoTarget::NoneInUse
-            };
-            return (None, Err(reason));
+            return (None, Err(why_none(directory, query)));
         }
         let bounds = self.bounds(candidates, query.preference.bound.as_ref());
         let shared_part = placement_parts(query.parts).last();
@@ -295,12 +347,16 @@
         let names = candidates
             .iter()
             .map(|candidate| candidate.target.entry.id.as_str());
+        let mut order = rendezvous_order(part.id, names);
+        order.sort_by_key(|one| !takes_part(now, candidates[*one].target, part.id));
         let reuse_value = self.reuse_value(query);
+        let bound = bounds.home_bound(query.preference.reuse_weight * reuse_value);
         Placement {
             part,
-            order: rendezvous_order(part.id, names),
+            order,
             homes: self.home_count(now, query, part, candidates.len()),
-            bound: bounds.home_bound(query.preference.reuse_weight * reuse_value),
+            bound,
+            work_bound: bounds.work_bound(bound),
         }
     }
 
@@ -317,10 +373,14 @@
             ref order,
             homes,
             bound,
+            work_bound,
         } = *placement;
         let suits = |position: &&usize| {
             let candidate = &candidates[**position];
-            candidate.is_usable && candidate.is_healthy && candidate.load < bound
+            candidate.is_usable
+                && candidate.is_healthy
+                && candidate.load < bound
+                && candidate.lasting_work < work_bound
         };
         let fits = |position: &&usize| suits(position) && candidates[**position].may_get_request();
         // Targets with limits have room at times, so that a part would be read at one after another.
@@ -343,7 +403,7 @@
         };
         Some(Choice {
             target: candidate.target.key,
-            fetch_from: Self::fetch_source(now, directory, query.service, part, candidate.target),
+            fetch_from: Self::fetch_source(now, directory, query, part, candidate.target),
             reason,
             load: candidate.load,
             bound: bounds.max_load,
@@ -370,6 +430,7 @@
         };
         let chosen = cheapest(&|one| one.may_get_request() && one.is_healthy)
             .or_else(|| least_loaded(candidates))?;
+        let chosen = Self::leave_if_slow(candidates, &order, chosen, query.request);
         let first_choice = cheapest(&|one| one.is_usable && one.is_healthy);
         let limited = first_choice.map(|first| &candidates[first]);
         let limited = limited.filter(|candidate| candidate.is_limited());
@@ -383,10 +444,40 @@
         })
     }
 
+    /// Another candidate if the chosen one is slow and reports no load. It keeps the part of its
+    /// requests that it finishes while the others finish all of theirs, so that the requests of many
+    /// daemons that see the same paces neither leave a slow target nor return to it all at once.
+    fn leave_if_slow(
+        candidates: &[Candidate<'_>],
+        order: &[usize],
+        chosen: usize,
+        request: u64,
+    ) -> usize {
+        let slow = &candidates[chosen];
+        if slow.reports_load() || slow.pace <= EQUAL_PACES {
+            return chosen;
+        }
+        let is_other = |position: &&usize| {
+            let one = &candidates[**position];
+            **position != chosen && one.may_get_request() && one.is_healthy && !one.reports_load()
+        };
+        let others = || order.iter().filter(is_other).copied();
+        let least_pace = others().map(|one| candidates[one].pace).reduce(f64::min);
+        let Some(least_pace) = least_pace else {
+            return chosen;
+        };
+        let is_quick = |one: &usize| candidates[*one].pace <= least_pace * EQUAL_PACES;
+        let kept_fraction = least_pace * EQUAL_PACES / slow.pace;
+        if drawn_fraction(request) < kept_fraction {
+            return chosen;
+        }
+        others().find(is_quick).unwrap_or(chosen)
+    }
+
     /// Load of the candidate, plus a penalty if it is in another failure domain.
     fn cost(&self, candidate: &Candidate<'_>) -> f64 {
         let is_near = candidate.target.entry.domain == self.domain;
-        candidate.load + if is_near { 0.0 } else { DOMAIN_COST_REQUESTS }
+        candidate.work() + if is_near { 0.0 } else { DOMAIN_COST_REQUESTS }
     }
 
     /// How much the reuse of the shared parts is worth, from 0 to 1, compared with the other
@@ -417,20 +508,39 @@
         homes.clamp(1, targets)
     }
 
+    /// Whether the shared part of a request has several homes.
+    #[expect(clippy::cast_precision_loss)]
+    fn is_popular(&self, now: Moment, directory: &Directory, query: &TargetQuery<'_>) -> bool {
+        let targets = directory.listed(query.service).count() as f64;
+        let Some(part) = placement_parts(query.parts).last() else {
+            return false;
+        };
+        let popularity = self.popularity.get(query.service);
+        let share = popularity.map_or(0.0, |popularity| popularity.share(now, part.id));
+        share * targets > MAX_MEAN_LOADS_PER_HOME
+    }
+
     /// The first home of the part, other than the chosen target, among the targets that are or
     /// recently were in use and have the same software version. Nothing is transferred if its cache
     /// no longer holds the part.
     fn fetch_source(
         now: Moment,
         directory: &Directory,
-        service: &str,
+        query: &TargetQuery<'_>,
         part: &PromptPart,
         chosen: &KnownTarget,
     ) -> Option<TargetKey> {
-        let others = directory.with_cache(now, service);
-        let fits =
-            |other: &&KnownTarget| other.key != chosen.key && other.version == chosen.version;
-        let others: Vec<&KnownTarget> = others.filter(fits).collect();
+        let others = directory.with_cache(now, query.service);
+        let fits = |other: &&KnownTarget| {
+            other.key != chosen.key
+                && other.version == chosen.version
+                && directory.is_in_homes(other, &query.homes)
+        };
+        let mut others: Vec<&KnownTarget> = others.filter(fits).collect();
+        let has_read = |other: &KnownTarget| takes_part(now, other, part.id);
+        if others.iter().any(|other| has_read(other)) {
+            others.retain(|other| has_read(other));
+        }
         let names = others.iter().map(|other| other.entry.id.as_str());
         let first = rendezvous_first(part.id, names)?;
         Some(others[first].key)
@@ -441,15 +551,18 @@
         let bound = override_bound.unwrap_or(&self.bound);
         // Targets with a limit have less than an even share, which the others carry.
         let unlimited = candidates.iter().filter(|one| !one.has_limit());
-        let mut loads: Vec<f64> = unlimited.map(|candidate| candidate.load).collect();
-        if loads.is_empty() {
-            loads = candidates.iter().map(|candidate| candidate.load).collect();
+        let mut counted: Vec<&Candidate<'_>> = unlimited.collect();
+        if counted.is_empty() {
+            counted = candidates.iter().collect();
         }
-        let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+        let targets = counted.len() as f64;
+        let mean = counted.iter().map(|one| one.load).sum::<f64>() / targets;
+        let mean_work = counted.iter().map(|one| one.lasting_work).sum::<f64>() / targets;
         let multiple = f64::from(bound.percent) / 100.0;
         let max_load = multiple * mean + f64::from(bound.extra) - BOUND_MARGIN_REQUESTS;
         Bounds {
             mean,
+            mean_work,
             max_load: max_load.max(1.0),
         }
     }
@@ -468,7 +581,7 @@
 }
 
 /// The parts by which a request is placed: the shared ones, or the only one.
-fn placement_parts(parts: &[PromptPart]) -> &[PromptPart] {
+pub(super) fn placement_parts(parts: &[PromptPart]) -> &[PromptPart] {
     match parts {
         [] | [_] => parts,
         _ => shared_prompt_parts(parts),
@@ -479,3 +592,11 @@
     let tokens = placement_parts(parts).iter().map(|part| part.tokens);
     tokens.fold(0, u32::saturating_add)
 }
+
+/// Fraction from 0 to 1 that is drawn by the hash of a request, independently of the order of its
+/// targets.
+#[expect(clippy::cast_precision_loss)]
+fn drawn_fraction(request: u64) -> f64 {
+    let hash = hash_parts(&[&request.to_le_bytes(), b"pace"]);
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/crates/core/src/routing/fleet_sample.rs
+++ b/crates/core/src/routing/fleet_sample.rs
@@ -10,11 +10,12 @@
 
 use std::time::Duration;
 
-use crate::admission::target_limits::{LimitChange, TargetLimit};
+use crate::admission::target_limits::{LimitChange, LimitNotice, TargetLimit};
 use crate::clock::Moment;
 use crate::ids::{ServiceId, TargetId, hash_parts};
 use crate::membership::{Directory, KnownTarget, TargetIncarnation};
 use crate::routing::choice::Chooser;
+use crate::routing::pace::{PacePercent, PaceView};
 use crate::routing::popularity::{PartRequests, PartShare};
 use crate::stream::StreamOrigin;
 
@@ -48,7 +49,7 @@
     pub struct TargetLoad {
         /// The target.
         pub target: TargetHash,
-        /// Its requests, running and waiting.
+        /// Its requests, running and waiting; zero if it reports none, and only its pace is known.
         pub requests: u32,
         /// Age of the report.
         pub age: Duration,
@@ -94,7 +95,7 @@
     });
     Observations {
         requests: requests.collect(),
-        loads: loads(now, since, directory, |target| target.load.is_own_report()),
+        loads: loads(now, since, directory, Origin::Own),
         limits: changed_limits(now, since, directory),
         streams: Vec::new(),
     }
@@ -107,7 +108,7 @@
 pub fn collected_observations(now: Moment, since: Moment, directory: &Directory) -> Observations {
     Observations {
         requests: Vec::new(),
-        loads: loads(now, since, directory, |_| true),
+        loads: loads(now, since, directory, Origin::Any),
         limits: changed_limits(now, since, directory),
         streams: Vec::new(),
     }
@@ -120,7 +121,12 @@
     directory: &mut Directory,
     chooser: &mut Chooser,
 ) {
-    merge_loads(now, &observations.loads, directory);
+    merge_loads(
+        now,
+        &observations.loads,
+        directory,
+        PaceView::record_relayed,
+    );
     for (service, requests) in &observations.requests {
         if let Some(service) = service_by_hash(directory, *service) {
             chooser.popularity(&service).merge(now, requests);
@@ -145,7 +151,7 @@
     });
     FleetSample {
         popular: popular.collect(),
-        loads: loads(now, since, directory, |_| true),
+        loads: loads(now, since, directory, Origin::Any),
         limits: changed_limits(now, since, directory),
     }
 }
@@ -157,7 +163,7 @@
     directory: &mut Directory,
     chooser: &mut Chooser,
 ) {
-    merge_loads(now, &sample.loads, directory);
+    merge_loads(now, &sample.loads, directory, PaceView::record_merged);
     for (service, shares) in sample.popular {
         if let Some(service) = service_by_hash(directory, service) {
             chooser.popularity(&service).set_fleet_shares(now, shares);
@@ -181,23 +187,38 @@
     hash as u32
 }
 
-fn loads(
-    now: Moment,
-    since: Moment,
-    directory: &Directory,
-    is_included: impl Fn(&KnownTarget) -> bool,
-) -> Vec<TargetLoad> {
-    let targets = directory.targets().iter().filter(|one| is_included(one));
+/// Whose observations are told.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// Those of this daemon.
+    Own,
+    /// Those of other daemons too.
+    Any,
+}
+
+fn loads(now: Moment, since: Moment, directory: &Directory, origin: Origin) -> Vec<TargetLoad> {
+    let is_told = |is_own: bool| is_own || origin == Origin::Any;
     let to_load = |target: &KnownTarget| {
-        let (requests, reported_at) = target.load.report_since(since)?;
+        let view = &target.load;
+        let report = view.report_since(since);
+        let report = report.filter(|_| is_told(view.is_own_report()));
+        let pace = match origin {
+            Origin::Own => view.pace.own_since(since),
+            Origin::Any => view.pace.merged_since(since),
+        };
+        let pace_percent = pace.map(|(percent, _)| percent);
+        let pace_only = || pace.map(|(_, observed_at)| (0, observed_at));
+        let (requests, observed_at) = report.or_else(pace_only)?;
         Some(TargetLoad {
             target: target.hash,
             requests,
-            age: now.saturating_sub(reported_at),
-            pace_percent: None,
+            age: now.saturating_sub(observed_at),
+            pace_percent,
         })
     };
-    let mut loads: Vec<TargetLoad> = targets
+    let mut loads: Vec<TargetLoad> = directory
+        .targets()
+        .iter()
         .filter_map(to_load)
         .filter(|load| load.age < MAX_REPORT_AGE)
         .collect();
@@ -206,30 +227,54 @@
     loads
 }
 
-/// The limits that have changed at this daemon after `since`.
+/// The limits that have changed at this daemon after `since`, and the targets that turned cold.
 fn changed_limits(now: Moment, since: Moment, directory: &Directory) -> Vec<TargetLimit> {
     let changed = directory.targets().iter().filter_map(|target| {
         let notice = target.limit.changed_since(since)?;
         Some(TargetLimit::told(now, target.hash, &notice))
     });
     let mut limits: Vec<TargetLimit> = changed.collect();
+    let targets = directory.targets().iter();
+    let changed = targets.filter(|target| target.warmth.has_changed_since(since));
+    limits.extend(changed.filter_map(|target| TargetLimit::of_cold(now, target)));
     limits.sort_by_key(|limit| limit.age);
     limits.truncate(MAX_LIMITS);
     limits
 }
 
+/// Merges what another daemon told of cold targets. Returns those that were not known to be cold, or
+/// not for so long, and for how long they stay cold.
+pub fn merge_cold_targets(
+    now: Moment,
+    limits: &[TargetLimit],
+    directory: &mut Directory,
+) -> Vec<(TargetId, Duration)> {
+    let mut changes = Vec::new();
+    for limit in limits.iter().filter(|limit| !limit.cold_left.is_zero()) {
+        let told_at = limit.cold_told_at(now);
+        directory.for_each_warmth(limit.target, |warmth, id| {
+            if warmth.record(now, told_at, limit.cold_left) {
+                changes.push((id.clone(), limit.cold_left));
+            }
+        });
+    }
+    changes
+}
+
 /// Merges limits that another daemon told. Returns what has changed here.
 pub fn merge_limits(
     now: Moment,
     limits: &[TargetLimit],
     directory: &mut Directory,
 ) -> Vec<(TargetId, LimitChange)> {
-    let mut sorted: Vec<&TargetLimit> = limits.iter().collect();
-    sorted.sort_by_key(|limit| limit.target);
+    let notices = limits.iter();
+    let notices = notices.filter_map(|limit| Some((limit.target, limit.limit_notice(now)?)));
+    let mut sorted: Vec<(TargetHash, LimitNotice)> = notices.collect();
+    sorted.sort_by_key(|(target, _)| *target);
     let mut changes = Vec::new();
     directory.for_each_limit(|target, view, id| {
-        if let Ok(position) = sorted.binary_search_by_key(&target, |limit| limit.target)
-            && let Some(change) = view.record(now, sorted[position].notice(now))
+        if let Ok(position) = sorted.binary_search_by_key(&target, |(known, _)| *known)
+            && let Some(change) = view.record(now, sorted[position].1)
         {
             changes.push((id.clone(), change));
         }
@@ -237,13 +282,24 @@
     changes
 }
 
-fn merge_loads(now: Moment, loads: &[TargetLoad], directory: &mut Directory) {
+fn merge_loads(
+    now: Moment,
+    loads: &[TargetLoad],
+    directory: &mut Directory,
+    record_pace: impl Fn(&mut PaceView, Moment, Moment, PacePercent),
+) {
     let mut sorted: Vec<&TargetLoad> = loads.iter().collect();
     sorted.sort_by_key(|load| load.target);
     directory.for_each_load(|target, view| {
         if let Ok(position) = sorted.binary_search_by_key(&target, |load| load.target) {
             let load = sorted[position];
-            view.record_relayed_report(now, now.saturating_sub(load.age), load.requests);
+            let observed_at = now.saturating_sub(load.age);
+            if load.requests > 0 || load.pace_percent.is_none() {
+                view.record_relayed_report(now, observed_at, load.requests);
+            }
+            if let Some(percent) = load.pace_percent {
+                record_pace(&mut view.pace, now, observed_at, percent);
+            }
         }
     });
 }
--- a/crates/core/src/routing/preview.rs
+++ b/crates/core/src/routing/preview.rs
@@ -14,6 +14,8 @@
     pub target: &'a KnownTarget,
     /// Estimated requests in flight; `None` for targets that cannot get the request at all.
     pub load: Option<f64>,
+    /// Load times the pace of the last seconds, in requests at the usual pace; `None` as for `load`.
+    pub work: Option<f64>,
     /// Why it does not get the request, or only if no other can.
     pub exclusion: Option<Exclusion>,
 }
@@ -27,8 +29,13 @@
     pub homes: usize,
     /// Targets in the order in which they are homes of the part, first those that are.
     pub order: Vec<TargetKey>,
+    /// Targets that are last in the order because they are cold: only a share of the parts is homed
+    /// there until they are warm.
+    pub cold: Vec<TargetKey>,
     /// Load at which a home no longer gets the request, in requests in flight.
     pub bound: f64,
+    /// Work at which it no longer does, in requests at the usual pace.
+    pub work_bound: f64,
 }
 
 /// Where a request would go now.
@@ -48,6 +55,7 @@
     directory: &'a Directory,
     query: &TargetQuery<'_>,
     candidates: &[Candidate<'a>],
+    moves_first: bool,
 ) -> Vec<TargetPreview<'a>> {
     let targets = directory.targets().iter();
     let of_service = targets.filter(|target| target.entry.service == *query.service);
@@ -56,11 +64,12 @@
         let candidate = candidates.find(|one| one.target.key == target.key);
         let exclusion = match candidate {
             Some(candidate) => obstacle(now, candidate, query),
-            None => bar(target, query),
+            None => bar(now, directory, target, query, moves_first),
         };
         TargetPreview {
             target,
             load: candidate.map(|candidate| candidate.load),
+            work: candidate.map(|candidate| candidate.lasting_work),
             exclusion,
         }
     };
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,7 +8,8 @@
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
-    Allocators, Evidence, LimitNotice, Overloads, ReturnSchedule, StopPlan, Suspects, Workspaces,
+    AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, PermitDesk, ReturnSchedule,
+    Shedding, StopPlan, Suspects, TargetRooms, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
@@ -19,7 +20,8 @@
 use lapismoor_core::once::Ledger;
 use lapismoor_core::retry::{MAX_PAUSE, RetryBudget};
 use lapismoor_core::routing::{
-    Chooser, ReportedLoad, RoutingConfig, Service, idle_connection_limit, profile_route,
+    Chooser, PacePercent, ReportedLoad, RoutingConfig, Service, idle_connection_limit,
+    profile_route,
 };
 use lapismoor_core::stream::StreamOrigins;
 use lapismoor_core::{Clock, Moment};
@@ -123,10 +125,16 @@
     pub suspects: Suspects,
     /// Known targets, with their load and health.
     pub directory: Directory,
-    /// This daemon's part of the permits for targets with a limit.
-    pub allocators: Allocators,
+    /// This daemon's part of the permits for targets with a limit and cold ones.
+    pub permits: PermitDesk,
     /// Services whose targets take fewer requests than they get.
     pub overloads: Overloads,
+    /// Room of the targets that are under pressure.
+    pub target_rooms: TargetRooms,
+    /// Fractions of the requests that are sent while targets reject some.
+    pub shedding: Shedding,
+    /// Answer times of the routes.
+    pub answer_times: AnswerTimes,
     /// Times at which callers return that were refused for limits.
     pub returns: ReturnSchedule,
     /// Targets at which requests were given up.
@@ -200,9 +208,12 @@
             workspaces: Workspaces::default(),
             ledger,
             suspects: Suspects::new(incarnation),
-            directory: Directory::default(),
-            allocators: Allocators::default(),
+            directory: Directory::new(settings.regions.clone(), settings.limits.evacuate_within),
+            permits: PermitDesk::default(),
             overloads: Overloads::default(),
+            target_rooms: TargetRooms::default(),
+            shedding: Shedding::default(),
+            answer_times: AnswerTimes::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
             mirror: Mirror::default(),
@@ -345,6 +356,13 @@
         Some((known.entry.id.clone(), known.entry.address))
     }
 
+    /// Whether no request may be sent to a target any more because its failure domain is evacuated.
+    #[must_use]
+    pub fn has_been_left(&self, target: TargetKey) -> bool {
+        let state = self.state.borrow();
+        state.directory.has_been_left(self.now(), target)
+    }
+
     /// Hash of a target's software version; `None` if the target is not known, or was replaced.
     #[must_use]
     pub fn version_of(&self, target: TargetKey) -> Option<VersionHash> {
@@ -388,6 +406,38 @@
         }
     }
 
+    /// Records the pace that a target states.
+    pub fn target_stated_pace(&self, target: TargetKey, percent: PacePercent) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.load.pace.record(now, percent);
+        }
+    }
+
+    /// Records the time from a request to the head of its answer, for a target that states neither
+    /// its load nor its pace.
+    pub(crate) fn target_answered_in(&self, target: TargetKey, time: Duration) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let State {
+            chooser, directory, ..
+        } = &mut *state;
+        chooser.record_answer_time(now, directory, target, time);
+    }
+
+    /// Records the time in which a connection to a target was opened.
+    pub(crate) fn target_connected_in(&self, target: TargetKey, time: Duration) {
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.load.record_connected(time);
+        }
+    }
+
+    /// Time that work takes at a target now, in percent of the usual; `None` if it is not known.
+    pub(crate) fn pace_percent(&self, target: TargetKey) -> Option<PacePercent> {
+        let state = self.state.borrow();
+        state.directory.get(target)?.load.pace.percent(self.now())
+    }
+
     /// Number of idle connections that may be kept to a target of a service.
     #[must_use]
     pub fn idle_connection_limit(&self, service: &ServiceId) -> usize {
@@ -433,6 +483,19 @@
         }
     }
 
+    /// Records what an answer shows about the room of its target.
+    pub fn target_showed_room(&self, target: TargetKey, timing: AnswerTiming) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        if let Some(known) = state.directory.get(target) {
+            let in_flight = known.load.own_requests();
+            let is_on_time = timing == AnswerTiming::OnTime;
+            let service = &known.entry.service;
+            state.shedding.record(now, service, is_on_time);
+            state.target_rooms.record(now, target, in_flight, timing);
+        }
+    }
+
     /// Records that bytes from a target arrived.
     pub fn target_heard(&self, target: TargetKey) {
         let now = self.now();
@@ -540,6 +603,62 @@
         }
     }
 
+    /// Records how long a target stays cold by its answer to a request sent at `sent_at`; zero if it
+    /// is warm.
+    pub fn target_said_cold(self: &Rc<Self>, target: TargetKey, sent_at: Moment, left: Duration) {
+        let now = self.now();
+        let is_news = {
+            let mut state = self.state.borrow_mut();
+            let Some(known) = state.directory.get_mut(target) else {
+                return;
+            };
+            if left.is_zero() {
+                known.warmth.record_warm(now, sent_at);
+                false
+            } else {
+                known.warmth.record(now, now, left) && known.cold_limit.is_some()
+            }
+        };
+        if is_news {
+            self.tell_limit(target);
+        }
+    }
+
+    /// Records that no connection to a target could be opened, so that it may start again unseen.
+    pub fn target_may_restart(&self, target: TargetKey) {
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target) {
+            known.warmth.record_unreachable();
+        }
+    }
+
+    /// Records that a target answered for itself.
+    pub fn target_contacted(&self, target: TargetKey) {
+        let now = self.now();
+        if let Some(known) = self.state.borrow_mut().directory.get_mut(target)
+            && let Some(limit) = known.cold_limit
+        {
+            known.warmth.record_contact(now, limit.start);
+        }
+    }
+
+    /// Logs and counts the targets that have turned cold or warm.
+    pub(crate) fn report_warmth(&self) {
+        let now = self.now();
+        let (changes, cold_targets) = self.state.borrow_mut().directory.warmth_changes(now);
+        for change in &changes {
+            let target = &change.target;
+            match &change.cold {
+                Some((left, source)) => {
+                    log::info!(target:%, left_ms = millis(*left), source:?; "target_cold");
+                }
+                None => log::info!(target:%; "target_warm"),
+            }
+        }
+        if !changes.is_empty() {
+            self.metrics.cold_targets.record(cold_targets as u64, &[]);
+        }
+    }
+
     /// Address of an incarnation of a target, if it is listed.
     #[must_use]
     pub fn address_if_listed(&self, target: &TargetIncarnation) -> Option<SocketAddr> {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use lapismoor_core::ids::{ServiceId, TargetId};
+use lapismoor_core::routing::PacePercent;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -22,18 +23,24 @@
     event_gap: Histogram<f64>,
     load_age: Histogram<f64>,
     requests_refused: Counter<u64>,
+    requests_delayed: Counter<u64>,
     requests_failed: Counter<u64>,
     attempts_failed: Counter<u64>,
     requests_limited: Counter<u64>,
     permits: Counter<u64>,
     target_limit: Gauge<f64>,
     target_share: Gauge<f64>,
+    /// Targets that take fewer requests because they are cold.
+    pub cold_targets: Gauge<u64>,
+    target_pace: Gauge<u64>,
     /// Connections opened to targets since the start.
     pub connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
     /// Times that the store was found to be restored from a copy.
     pub store_restores: Counter<u64>,
     retries_left: Gauge<u64>,
+    /// Number of evacuated failure domains.
+    pub evacuated_domains: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -82,6 +89,10 @@
                 "Age of a target's load report when the target is chosen",
             ),
             requests_refused: counter("lapismoor.request.refused", "Requests refused, by reason"),
+            requests_delayed: counter(
+                "lapismoor.request.delayed",
+                "Requests for which a service had no room at once, by decision and rank",
+            ),
             requests_failed: counter("lapismoor.request.failed", "Requests failed, by cause"),
             attempts_failed: counter("lapismoor.attempt.failed", "Attempts failed, by cause"),
             requests_limited: counter(
@@ -100,6 +111,14 @@
                 .f64_gauge("lapismoor.target.share")
                 .with_description("Requests per second that this daemon was permitted to a target when it last had no room")
                 .build(),
+            cold_targets: meter
+                .u64_gauge("lapismoor.target.cold")
+                .with_description("Targets that take fewer requests because they are cold")
+                .build(),
+            target_pace: meter
+                .u64_gauge("lapismoor.target.pace")
+                .with_description("Time that work took at a target when it was last chosen, in percent of the usual")
+                .build(),
             connections_opened: counter(
                 "lapismoor.target.connections",
                 "Connections opened to targets",
@@ -112,6 +131,10 @@
                 "lapismoor.store.restores",
                 "Times that the store was found to be restored from an older copy",
             ),
+            evacuated_domains: meter
+                .u64_gauge("lapismoor.domain.evacuated")
+                .with_description("Failure domains that are evacuated, as far as this daemon knows")
+                .build(),
             retries_left: meter
                 .u64_gauge("lapismoor.retry.left")
                 .with_description("Retries left in the budget window after the last failed attempt")
@@ -165,6 +188,15 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request for which its service had no room at once.
+    pub fn count_delayed(&self, decision: &'static str, rank: u8) {
+        let labels = [
+            KeyValue::new("decision", decision),
+            KeyValue::new("rank", i64::from(rank)),
+        ];
+        self.requests_delayed.add(1, &labels);
+    }
+
     /// Counts a failed request.
     pub fn count_failed(&self, cause: &'static str) {
         self.requests_failed
@@ -197,6 +229,12 @@
         self.target_share.record(share_per_s, &labels);
     }
 
+    /// Records the pace of a target that is chosen, in percent of the usual.
+    pub fn record_pace(&self, target: &TargetId, percent: PacePercent) {
+        let labels = [KeyValue::new("target", target.to_string())];
+        self.target_pace.record(percent.into(), &labels);
+    }
+
     /// Records how many retries are left in a service's budget.
     pub fn record_retries_left(&self, service: &ServiceId, left: u64) {
         let labels = [KeyValue::new("service", service.to_string())];
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -1,16 +1,19 @@
 //! One attempt: connects to one target, sends the request and reads the head of the answer.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead, StatusCode, header};
 use bytes::{Bytes, BytesMut};
-use lapismoor_core::admission::Belief;
+use lapismoor_core::admission::{AnswerTiming, Belief};
 use lapismoor_core::ids::{TargetId, TargetKey};
 use lapismoor_core::retry::{AnswerKind, AttemptEnd, classify_answer};
 use lapismoor_core::routing::Choice;
+use lapismoor_core::routing::pace::rejection_pace;
 use opentelemetry::trace::SpanKind;
 
 use super::job::{InFlight, Job};
+use super::run::EVACUATED;
 use crate::context::Edge;
 use crate::dialect::{AnswerMetadata, AttemptHeaders};
 use crate::http::{AnswerBody, Connection, ExchangeError};
@@ -146,6 +149,9 @@
     if let Some(age) = edge.load_age(choice.target) {
         edge.metrics.record_load_age(age);
     }
+    if let Some(percent) = edge.pace_percent(choice.target) {
+        edge.metrics.record_pace(&target_id, percent);
+    }
     let in_flight = InFlight {
         target: choice.target,
         incarnation: edge.incarnation_of(choice.target),
@@ -156,6 +162,7 @@
         Ok(connected) => connected,
         Err(error) => {
             edge.target_unreachable(choice.target, error.name());
+            edge.target_may_restart(choice.target);
             if error.is_refused()
                 && let Some(target) = edge.incarnation_of(choice.target)
             {
@@ -164,6 +171,10 @@
             return Err(FailedAttempt::new(AttemptEnd::NotSent, error.name()));
         }
     };
+    // The domain may have been evacuated while the request waited for a permit or a connection.
+    if edge.has_been_left(choice.target) {
+        return Err(FailedAttempt::new(AttemptEnd::NotSent, EVACUATED));
+    }
     Ok(PreparedAttempt {
         job,
         choice,
@@ -194,6 +205,7 @@
         };
         job.in_flight.borrow_mut().push(self.in_flight);
         let body = job.request.body.clone();
+        let asked_at = edge.now();
         let exchange = self.connection.exchange(head, body, answers_request);
         let (head, body) = match tokio::time::timeout(job.time_left(), exchange).await {
             Ok(Ok(answer)) => answer,
@@ -222,6 +234,10 @@
         let is_of_target = metadata.is_signed || metadata.is_not_run;
         if is_of_target && head.status != StatusCode::MISDIRECTED_REQUEST {
             edge.target_named_limit(target, sent_at, metadata.limit.as_ref());
+            edge.target_contacted(target);
+            if let Some(left) = metadata.cold_left {
+                edge.target_said_cold(target, sent_at, left);
+            }
         }
         let answer = Answer {
             target,
@@ -232,10 +248,29 @@
             _span: self.span,
             guard: Some(self.guard),
         };
+        record_pace(job, &answer, edge.now().saturating_sub(asked_at));
         check_answer(job, answer).await
     }
 }
 
+/// Records the pace that the answer states or shows. Answers of streams show none: their times depend
+/// on the prompt.
+fn record_pace(job: &Job, answer: &Answer, time: Duration) {
+    let edge = &job.edge;
+    let metadata = &answer.metadata;
+    if let Some(percent) = metadata.pace_percent {
+        edge.target_stated_pace(answer.target, percent);
+        return;
+    }
+    let is_silent = metadata.load.is_none() && !job.request.route.is_stream();
+    let status = answer.head.status;
+    if is_silent && metadata.is_signed && status.is_success() {
+        edge.target_answered_in(answer.target, time);
+    } else if is_silent && metadata.is_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
+        edge.target_stated_pace(answer.target, rejection_pace());
+    }
+}
+
 /// Classifies an answer by its head. Buffers a failed answer, and keeps the connection where the
 /// body could be read.
 async fn check_answer(job: &Job, mut answer: Answer) -> Result<Answer, FailedAttempt> {
@@ -248,6 +283,7 @@
     let status = answer.head.status.as_u16();
     let is_signed = metadata.is_signed && !is_encoded;
     let kind = classify_answer(status, is_signed, metadata.is_not_run);
+    report_room(job, &answer, &kind);
     let is_failure = !matches!(kind, AnswerKind::Success | AnswerKind::Final);
     edge.target_answered(answer.target, is_failure);
     match kind {
@@ -287,6 +323,31 @@
     }
 }
 
+/// Records what the head of an answer shows about the room of its target. Late answers of engines
+/// show none: their time depends on the prompt.
+fn report_room(job: &Job, answer: &Answer, kind: &AnswerKind) {
+    let edge = &job.edge;
+    let route = &job.request.route;
+    let timing = match kind {
+        AnswerKind::Rejected if answer.head.status == StatusCode::SERVICE_UNAVAILABLE => {
+            AnswerTiming::Rejected
+        }
+        AnswerKind::Success => {
+            let sent_at = job.sent_at(answer.target).unwrap_or(edge.now());
+            let took = edge.now().saturating_sub(sent_at);
+            let answer_times = &mut edge.state.borrow_mut().answer_times;
+            answer_times.record(&route.name, took, job.work());
+            if route.is_stream() {
+                AnswerTiming::OnTime
+            } else {
+                AnswerTiming::of_answer(took, route.latency_objective)
+            }
+        }
+        _ => return,
+    };
+    edge.target_showed_room(answer.target, timing);
+}
+
 impl Answer {
     /// Closes the connection, so that the target stops its work.
     pub(super) fn close(&mut self) {
@@ -361,7 +422,10 @@
     }
     edge.metrics.connections_opened.add(1, &[]);
     let timeout = edge.settings.tuning.connect_timeout.min(job.time_left());
-    Ok((Connection::open(address, timeout).await?, false))
+    let opened_at = edge.now();
+    let connection = Connection::open(address, timeout).await?;
+    edge.target_connected_in(target, edge.now().saturating_sub(opened_at));
+    Ok((connection, false))
 }
 
 fn failed_attempt(edge: &Edge, target: TargetKey, error: &ExchangeError) -> FailedAttempt {
@@ -448,6 +512,7 @@
         load = choice.load,
         bound = choice.bound,
         load_age_ms = job.edge.load_age(choice.target).map(millis),
+        pace_percent = job.edge.pace_percent(choice.target),
         fetch = choice.fetch_from.is_some(),
         sends = job.progress.get().sends,
         last_event,
--- a/crates/edge/src/serve/dry_run.rs
+++ b/crates/edge/src/serve/dry_run.rs
@@ -9,7 +9,6 @@
 use compact_str::CompactString;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::Refusal;
-use lapismoor_core::admission::gate::{Admission, GatePreview};
 use lapismoor_core::ids::{DaemonId, FailureDomain, ServiceId, TargetId, TargetKey, WorkspaceId};
 use lapismoor_core::membership::Directory;
 use lapismoor_core::routing::{
@@ -18,10 +17,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::admitted_request::AdmittedRequest;
-use super::job::{ASKS_NO_PERMIT, first_query, overload_reason, permit_priority};
+use super::job::{ASKS_NO_PERMIT, first_query, overload_reason, permit_priority, permit_request};
 use super::run::refusal_without_target;
 use super::{authorize, find_workspace, priority};
-use crate::admission::PermitRequest;
+use crate::admission::{PermitPreview, PermitRequest};
 use crate::context::Edge;
 use crate::dialect::Envelope;
 use crate::millis::millis;
@@ -33,6 +32,8 @@
 const MAX_HOMES: usize = 8;
 /// Exclusion of a home that has too much load.
 const ABOVE_BOUND: &str = "above_bound";
+/// Exclusion of a home whose load is too much at its pace.
+const ABOVE_WORK_BOUND: &str = "above_work_bound";
 
 /// The request to be explained.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -97,18 +98,37 @@
 }
 
 /// What admission would decide.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AdmissionReport {
-    /// `admit`, `wait` or `refuse`.
+    /// `admit`, `queued`, `refused`, or `turned_away` in favour of more urgent requests.
     pub decision: CompactString,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u8,
     /// Requests of the service in flight at this daemon.
     pub in_flight: usize,
     /// Maximum number of them for the rank of the request.
     pub limit: usize,
     /// Queued requests that would be sent before it.
     pub queued_ahead: usize,
-    /// Expected wait in the queue, in milliseconds.
-    pub expected_wait_ms: u64,
+    /// Expected wait in the queue, in milliseconds; `None` if as much arrives as ends.
+    pub expected_wait_ms: Option<u64>,
+    /// `None` if the configuration sets the number of requests per target.
+    pub by_cost: Option<CostReport>,
+}
+
+/// By what a service is admitted to whose targets show their room by their answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CostReport {
+    /// Fraction of the requests of this rank that are sent.
+    pub sent_fraction: f64,
+    /// Time until the answer is late, in milliseconds.
+    pub due_in_ms: u64,
+    /// Time until the timeout of the route, in milliseconds.
+    pub deadline_in_ms: u64,
+    /// Time that the answer is expected to take, in milliseconds.
+    pub answer_time_ms: u64,
+    /// Work of the request, in percent of the average of its route.
+    pub work_percent: u32,
 }
 
 /// The chosen target.
@@ -124,7 +144,7 @@
     pub load: f64,
     /// Load bound of the service's targets.
     pub bound: f64,
-    /// Whether the target names a limit, so that a permit is asked for before the request is sent.
+    /// Whether the target names a limit or is cold, so that a permit is asked for before the request is sent.
     pub needs_permit: bool,
     /// Target that would have been chosen if it had room within its limit.
     pub limited: Option<TargetId>,
@@ -141,6 +161,8 @@
     pub bound: f64,
     /// The first targets in the order in which they are homes.
     pub order: Vec<HomeReport>,
+    /// Targets that are last in the order because they are cold.
+    pub cold: Vec<TargetId>,
 }
 
 /// A target as a home of a part.
@@ -152,7 +174,8 @@
     pub is_home: bool,
     /// Estimated requests in flight there.
     pub load: f64,
-    /// Why it does not get the request; as in [`TargetReport`], or `above_bound`.
+    /// Why it does not get the request; as in [`TargetReport`], `above_bound` or
+    /// `above_work_bound`.
     pub exclusion: Option<CompactString>,
 }
 
@@ -199,13 +222,9 @@
         self.route = Some(request.route.name.clone());
         self.workspace.clone_from(&request.workspace);
         self.service = Some(request.service.clone());
-        let gate = edge.preview_permit(&PermitRequest {
-            service: &request.service,
-            latency_objective: request.route.latency_objective,
-            priority: &request.priority,
-            received: now,
-        });
-        self.admission = Some(admission_report(&gate));
+        let permit_request = permit_request(edge, &request);
+        let admission = edge.preview_permit(&permit_request);
+        self.admission = Some(admission_report(now, &admission, &permit_request));
         let permit_priority = permit_priority(&request);
         let no_target = {
             let state = edge.state.borrow();
@@ -219,29 +238,23 @@
                 .as_ref()
                 .map(|placement| placement_report(placement, &preview.targets));
             let choice = preview.choice.as_ref().ok();
-            self.choice = choice.map(|choice| choice_report(choice, &state.directory));
+            self.choice = choice.map(|choice| choice_report(now, choice, &state.directory));
             query.permits_denied = ASKS_NO_PERMIT;
             let without_permit = || {
                 let chooser = &state.chooser;
                 let preview = chooser.preview(now, &state.directory, &query);
-                overload_reason(preview.choice)
+                overload_reason(preview.choice, |target| edge.names_limit(target))
             };
             let overload = is_overload.then(without_permit).flatten();
             overload.or(preview.choice.err())
         };
-        match gate.admission {
-            Admission::Refuse { retry_after } => self.refuse(&Refusal::Full { retry_after }),
-            Admission::QueueFull { retry_after } => {
-                self.refuse(&Refusal::QueueFull { retry_after });
-            }
-            Admission::Admit | Admission::Wait { .. } => {
-                if let Some(reason) = no_target {
-                    let service = &request.service;
-                    self.refuse(&refusal_without_target(&reason, |left| {
-                        edge.preview_limit_retry_after(service, left)
-                    }));
-                }
-            }
+        if let Some(refusal) = admission.refusal() {
+            self.refuse(&refusal);
+        } else if let Some(reason) = no_target {
+            let service = &request.service;
+            self.refuse(&refusal_without_target(&reason, |left| {
+                edge.preview_limit_retry_after(service, left)
+            }));
         }
     }
 
@@ -298,11 +311,17 @@
     })?;
     let service = query.service;
     let service = service.unwrap_or_else(|| super::service(&authorized.route, &envelope));
+    let priority = priority(&authorized);
+    let (workspace, workspace_homes) = match authorized.workspace {
+        Some(workspace) => (Some(workspace.name), workspace.home_regions),
+        None => (None, Vec::new()),
+    };
     Ok(AdmittedRequest {
         config_version: authorized.config.version(),
         service,
-        priority: priority(&authorized),
-        workspace: authorized.workspace.map(|workspace| workspace.name),
+        priority,
+        workspace,
+        workspace_homes,
         route: authorized.route,
         preference: AffinityPreference::default(),
         method: Method::GET,
@@ -314,22 +333,33 @@
     })
 }
 
-fn admission_report(gate: &GatePreview) -> AdmissionReport {
-    let decision = match gate.admission {
-        Admission::Admit => "admit",
-        Admission::Wait { .. } => "wait",
-        Admission::Refuse { .. } | Admission::QueueFull { .. } => "refuse",
-    };
+fn admission_report(
+    now: Moment,
+    admission: &PermitPreview,
+    request: &PermitRequest<'_>,
+) -> AdmissionReport {
+    let need = &request.need;
+    let gate = &admission.gate;
+    let by_cost = admission.by_cost.as_ref();
+    let by_cost = by_cost.map(|by_cost| CostReport {
+        sent_fraction: by_cost.sent_fraction,
+        due_in_ms: millis(need.due_at.saturating_sub(now)),
+        deadline_in_ms: millis(need.deadline.saturating_sub(now)),
+        answer_time_ms: millis(need.answer_time),
+        work_percent: need.work_percent,
+    });
     AdmissionReport {
-        decision: decision.into(),
+        decision: admission.decision().into(),
+        rank: need.priority.rank,
+        by_cost,
         in_flight: gate.in_flight,
         limit: gate.limit,
         queued_ahead: gate.ahead,
-        expected_wait_ms: millis(gate.expected_wait),
+        expected_wait_ms: gate.expected_wait.map(millis),
     }
 }
 
-fn choice_report(choice: &Choice, directory: &Directory) -> ChoiceReport {
+fn choice_report(now: Moment, choice: &Choice, directory: &Directory) -> ChoiceReport {
     let id = |key: TargetKey| directory.get(key).map(|target| target.entry.id.clone());
     let target = directory.get(choice.target);
     ChoiceReport {
@@ -338,7 +368,7 @@
         fetch_from: choice.fetch_from.and_then(id),
         load: choice.load,
         bound: choice.bound,
-        needs_permit: target.is_some_and(|target| target.limit.rate().is_some()),
+        needs_permit: target.is_some_and(|target| target.needs_permit(now)),
         limited: choice.limited.and_then(id),
     }
 }
@@ -346,17 +376,23 @@
 fn placement_report(placement: &PartPlacement, targets: &[TargetPreview<'_>]) -> PlacementReport {
     let find = |key: &TargetKey| targets.iter().find(|one| one.target.key == *key);
     let listed = placement.order.iter().filter_map(find).take(MAX_HOMES);
+    let cold = placement.cold.iter().filter_map(find).take(MAX_HOMES);
     let to_report = |(rank, preview): (usize, &TargetPreview<'_>)| {
         let load = preview.load.unwrap_or_default();
-        let is_above = load >= placement.bound;
+        let has_much_work = preview
+            .work
+            .is_some_and(|work| work >= placement.work_bound);
+        let above = if load >= placement.bound {
+            Some(ABOVE_BOUND)
+        } else {
+            has_much_work.then_some(ABOVE_WORK_BOUND)
+        };
         let exclusion = preview.exclusion.map(|exclusion| exclusion.name());
         HomeReport {
             target: preview.target.entry.id.clone(),
             is_home: rank < placement.homes,
             load,
-            exclusion: exclusion
-                .or(is_above.then_some(ABOVE_BOUND))
-                .map(CompactString::from),
+            exclusion: exclusion.or(above).map(CompactString::from),
         }
     };
     PlacementReport {
@@ -364,5 +400,8 @@
         homes: placement.homes,
         bound: placement.bound,
         order: listed.enumerate().map(to_report).collect(),
+        cold: cold
+            .map(|preview| preview.target.entry.id.clone())
+            .collect(),
     }
 }
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -7,14 +7,14 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
-use lapismoor_core::admission::{Belief, Priority, Refusal, SuspectKind};
+use lapismoor_core::admission::{Belief, Priority, Refusal, RequestNeed, SuspectKind};
 use lapismoor_core::ids::{Fingerprint, ServiceId, StreamKey, TargetKey, hash_parts, stream_key};
-use lapismoor_core::membership::{KnownTarget, TargetIncarnation};
+use lapismoor_core::membership::{Directory, KnownTarget, TargetIncarnation};
 use lapismoor_core::retry::{
     AttemptCounts, AttemptEnd, MAX_SOUND_SILENCE, NextStep, Obstacle, OverdueRequest, RetryPolicy,
     may_replace,
 };
-use lapismoor_core::routing::{Choice, Homes, NoTarget, PromptPart, TargetQuery};
+use lapismoor_core::routing::{Choice, NoTarget, PromptPart, TargetQuery};
 use lapismoor_core::stream::VersionBinding;
 use opentelemetry::trace::SpanKind;
 
@@ -116,12 +116,10 @@
 
 impl Job {
     pub(crate) fn new(edge: Rc<Edge>, guard: CallerGuard, request: AdmittedRequest) -> Self {
-        let timeout = request.route.timeout;
-        let caller_timeout = request.envelope.deadline.unwrap_or(timeout);
         edge.count_request(&request.service);
         let fingerprint = fingerprint(&request);
         Self {
-            deadline: request.received.saturating_add(caller_timeout.min(timeout)),
+            deadline: deadline(&request),
             tried: RefCell::default(),
             declined: RefCell::default(),
             may_repeat_target: Cell::new(false),
@@ -153,18 +151,18 @@
     pub(crate) async fn acquire_permit(&mut self) -> Result<(), Refusal> {
         let edge = Rc::clone(&self.edge);
         let started_at = edge.now();
-        let permit = edge.acquire_permit(PermitRequest {
-            service: &self.request.service,
-            latency_objective: self.request.route.latency_objective,
-            priority: &self.request.priority,
-            received: self.request.received,
-        });
+        let permit = edge.acquire_permit(permit_request(&edge, &self.request));
         self.permit = Some(permit.await?);
         self.queue_wait = edge.now().saturating_sub(started_at);
         edge.metrics.record_wait(self.queue_wait);
         Ok(())
     }
 
+    /// Work of the request in units that are comparable within a route: tokens of the prompt.
+    pub(crate) fn work(&self) -> u32 {
+        work(&self.request)
+    }
+
     /// Time until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.edge.now())
@@ -179,9 +177,10 @@
     }
 
     /// Why the request is not tried: its home has no room, and that of others is left to more urgent
-    /// requests. `None` if its home needs no permit.
+    /// requests. `None` if its home needs no permit, or is only cold and another target is not.
     pub(crate) fn reason_for_overload(&self) -> Option<NoTarget> {
-        let reason = overload_reason(self.choose(&[], false, ASKS_NO_PERMIT))?;
+        let choice = self.choose(&[], false, ASKS_NO_PERMIT);
+        let reason = overload_reason(choice, |target| self.edge.names_limit(target))?;
         if let NoTarget::Limited { left, target } = reason {
             report::limit_reached(self, target, Some(left), "refused");
         }
@@ -277,7 +276,13 @@
         state.chooser.choose(now, &state.directory, &query)
     }
 
-    /// Whether targets in use have the software version at which the stream may go on.
+    /// Whether a target has the version and is in the regions that bind the request.
+    fn suits(&self, directory: &Directory, target: &KnownTarget) -> bool {
+        let is_in_homes = directory.is_in_homes(target, &self.request.homes());
+        is_in_homes && self.version.get().allows(target.version)
+    }
+
+    /// Whether listed targets have the software version at which the stream may go on.
     pub(crate) fn serves_version(&self) -> bool {
         match self.version.get() {
             VersionBinding::Free => true,
@@ -291,18 +296,33 @@
     /// Whether a target may get the stream, now or once it returns. Where targets of other versions
     /// serve, only untried ones of its own version are waited for.
     fn can_go_on(&self) -> bool {
-        let version = self.version.get();
         let tried = self.tried.borrow();
         let may_repeat = self.may_repeat_target.get();
         let state = self.edge.state.borrow();
-        let (own, others): (Vec<_>, Vec<_>) = state
-            .directory
-            .in_use(&self.request.service)
-            .partition(|target| version.allows(target.version));
-        let is_untried = |target: &&KnownTarget| may_repeat || !tried.contains(&target.key);
+        let directory = &state.directory;
+        let (own, others): (Vec<_>, Vec<_>) = directory
+            .listed(&self.request.service)
+            .partition(|target| self.suits(directory, target));
+        if are_evacuated(directory, &own) {
+            return false;
+        }
+        let is_untried = |target: &&KnownTarget| {
+            !directory.is_evacuated(target) && (may_repeat || !tried.contains(&target.key))
+        };
         others.is_empty() || own.iter().any(is_untried)
     }
 
+    /// Whether the failure domains of all targets that may serve the request are evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        let state = self.edge.state.borrow();
+        let directory = &state.directory;
+        let listed = directory.listed(&self.request.service);
+        let own: Vec<_> = listed
+            .filter(|target| self.suits(directory, target))
+            .collect();
+        are_evacuated(directory, &own)
+    }
+
     /// Waits until a target can be chosen, for as long as sound targets may be silent. Returns
     /// whether there is one.
     pub(crate) async fn wait_for_target(&self) -> bool {
@@ -322,11 +342,10 @@
         let state = self.edge.state.borrow();
         let tried = self.tried.borrow();
         let may_repeat = self.may_repeat_target.get();
-        let version = self.version.get();
         let mut targets = state.directory.in_use(&self.request.service);
         targets.any(|target| {
             let is_untried = may_repeat || !tried.contains(&target.key);
-            target.is_available(now) && is_untried && version.allows(target.version)
+            target.is_available(now) && is_untried && self.suits(&state.directory, target)
         })
     }
 
@@ -357,11 +376,12 @@
             let has_request = in_flight.iter().any(|attempt| attempt.target == *key);
             has_request || tried.contains(key) || declined.contains(key)
         };
-        let version = self.version.get();
+        let directory = &state.directory;
         let mut unsuitable = Vec::new();
         let mut has_suitable = false;
-        for target in state.directory.in_use(&self.request.service) {
-            let is_suitable = version.allows(target.version)
+        for target in directory.listed(&self.request.service) {
+            let is_suitable = self.suits(directory, target)
+                && !directory.is_evacuated(target)
                 && target.is_available(now)
                 && may_replace(now, silent_since, target.last_received_at)
                 && !is_known(&target.key);
@@ -452,6 +472,15 @@
         self.may_repeat_target.set(failed.may_repeat_target);
     }
 
+    /// When the current attempt was sent to a target.
+    pub(crate) fn sent_at(&self, target: TargetKey) -> Option<Moment> {
+        let in_flight = self.in_flight.borrow();
+        let mut attempts = in_flight.iter();
+        attempts
+            .find(|attempt| attempt.target == target)
+            .map(|attempt| attempt.sent_at)
+    }
+
     fn take_in_flight(&self, target: TargetKey) -> Option<InFlight> {
         let mut in_flight = self.in_flight.borrow_mut();
         let position = in_flight
@@ -500,6 +529,11 @@
     }
 }
 
+fn are_evacuated(directory: &Directory, targets: &[&KnownTarget]) -> bool {
+    let mut targets = targets.iter();
+    targets.len() > 0 && targets.all(|target| directory.is_evacuated(target))
+}
+
 fn fingerprint(request: &AdmittedRequest) -> Fingerprint {
     hash_parts(&[
         request.priority.workspace.as_bytes(),
@@ -512,6 +546,41 @@
 /// Ranks that a route can have among requests with the same rank.
 const RANKS_WITHIN_RANK: u8 = 16;
 
+/// Deadline of the caller or timeout of the route, whichever is earlier.
+fn deadline(request: &AdmittedRequest) -> Moment {
+    let timeout = request.route.timeout;
+    let caller_timeout = request.envelope.deadline.unwrap_or(timeout);
+    request.received.saturating_add(caller_timeout.min(timeout))
+}
+
+fn work(request: &AdmittedRequest) -> u32 {
+    let tokens = request.envelope.parts.iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add).max(1)
+}
+
+/// What admission is asked about a request.
+pub(super) fn permit_request<'a>(edge: &Edge, request: &'a AdmittedRequest) -> PermitRequest<'a> {
+    let route = &request.route;
+    let expected = {
+        let state = edge.state.borrow();
+        state.answer_times.expected(&route.name, work(request))
+    };
+    PermitRequest {
+        id: &request.envelope.id,
+        service: &request.service,
+        latency_objective: route.latency_objective,
+        need: RequestNeed::new(
+            request.priority.clone(),
+            request.received,
+            route.latency_objective,
+            deadline(request),
+            expected.as_ref(),
+        ),
+        received: request.received,
+        hash: request_hash(&request.envelope.id),
+    }
+}
+
 /// What determines the target of the first attempt of a request.
 pub(super) fn first_query<'a>(
     request: &'a AdmittedRequest,
@@ -526,16 +595,22 @@
         may_repeat_target: false,
         preference: request.preference.clone(),
         priority: permit_priority,
-        homes: Homes::default(),
+        homes: request.homes(),
         permits_denied: 0,
     }
 }
 
 /// Why a request is not tried in favour of others, by the choice that it would get without asking for
-/// permits; `None` if its home needs none.
-pub(super) fn overload_reason(choice: Result<Choice, NoTarget>) -> Option<NoTarget> {
+/// permits; `None` if its home needs none, or is only cold and another target is not.
+pub(super) fn overload_reason(
+    choice: Result<Choice, NoTarget>,
+    names_limit: impl FnOnce(TargetKey) -> bool,
+) -> Option<NoTarget> {
     let (target, left) = match choice {
-        Ok(choice) => (choice.limited?, OVERLOAD_WAIT),
+        Ok(choice) => (
+            choice.limited.filter(|target| names_limit(*target))?,
+            OVERLOAD_WAIT,
+        ),
         Err(NoTarget::Limited { left, target }) => (target, left),
         Err(_) => return None,
     };
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -29,7 +29,7 @@
 use crate::status::Status;
 use crate::store::{
     StoreClient, announce, exchange_between_collectors, exchange_observations, follow,
-    mark_versions, mirror_source, record_streams, share_suspects,
+    mark_versions, mirror_source, record_streams, share_suspects, sweep_evacuations,
 };
 use crate::streams::share_streams;
 
@@ -245,6 +245,8 @@
                 });
             (state.directory.sweep(now), refuted)
         };
+        edge.report_warmth();
+        sweep_evacuations(&edge, now);
         edge.clear_answered();
         for interruption in refuted {
             let target = &interruption.target.id;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -3,8 +3,8 @@
 use compact_str::CompactString;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::RequestRate;
-use lapismoor_core::ids::{DaemonId, ServiceId, TargetId};
-use lapismoor_core::membership::KnownTarget;
+use lapismoor_core::ids::{DaemonId, FailureDomain, ServiceId, TargetId};
+use lapismoor_core::membership::{Directory, KnownTarget};
 use serde::{Deserialize, Serialize};
 
 use crate::context::Edge;
@@ -38,10 +38,24 @@
     pub in_flight: usize,
     /// Estimated share of the fleet's traffic, from 0 to 1.
     pub traffic_share: f64,
+    /// Evacuated failure domains, sorted.
+    #[serde(default)]
+    pub evacuations: Vec<EvacuationStatus>,
     /// Targets, sorted by id.
     pub targets: Vec<TargetStatus>,
 }
 
+/// An evacuated failure domain as seen by one daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EvacuationStatus {
+    /// The domain.
+    pub domain: FailureDomain,
+    /// Time since the daemon learned of the evacuation, in milliseconds.
+    pub since_ms_ago: u64,
+    /// Whether all requests have moved to other domains.
+    pub is_complete: bool,
+}
+
 /// Status of a target as seen by one daemon.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TargetStatus {
@@ -59,6 +73,12 @@
     pub own_requests: u32,
     /// Age of the last load report, in milliseconds; `None` without a report.
     pub load_age_ms: Option<u64>,
+    /// Time that work takes there now, in percent of the usual; `None` if it is not known.
+    #[serde(default)]
+    pub pace_percent: Option<u16>,
+    /// Age of the last observation of the pace, in milliseconds.
+    #[serde(default)]
+    pub pace_age_ms: Option<u64>,
     /// Time since the target last sent any bytes, in milliseconds.
     pub heard_ms_ago: u64,
     /// Requests per second that the target takes from all daemons together; `None` without a limit.
@@ -70,6 +90,15 @@
     /// Age of the answer that named the limit, in milliseconds.
     #[serde(default)]
     pub limit_age_ms: Option<u64>,
+    /// Requests per second that the target takes while it is cold; `None` if it is warm.
+    #[serde(default)]
+    pub cold_per_s: Option<f64>,
+    /// Time for which the target stays cold, in milliseconds.
+    #[serde(default)]
+    pub cold_left_ms: Option<u64>,
+    /// How it is known that the target is cold: `Told` by itself, or `Presumed` by this daemon.
+    #[serde(default)]
+    pub coldness: Option<CompactString>,
 }
 
 impl TargetStatus {
@@ -100,14 +129,27 @@
             store_era: state.mirror.revision().unwrap_or_default().era,
             in_flight: edge.in_flight.count(),
             traffic_share: state.traffic_share.get(),
+            evacuations: evacuations(&state.directory, now),
             targets: targets.map(|target| target_status(target, now)).collect(),
         }
     }
 }
 
+fn evacuations(directory: &Directory, now: Moment) -> Vec<EvacuationStatus> {
+    let known = &directory.evacuations;
+    let domains = known.domains().iter();
+    let domains = domains.map(|evacuation| EvacuationStatus {
+        domain: evacuation.domain.clone(),
+        since_ms_ago: millis(now.saturating_sub(evacuation.since)),
+        is_complete: known.has_left(now, &evacuation.domain),
+    });
+    domains.collect()
+}
+
 fn target_status(target: &KnownTarget, now: Moment) -> TargetStatus {
     let rate = target.limit.rate();
     let notice = target.limit.notice().filter(|_| rate.is_some());
+    let cold = target.cold_rate(now);
     TargetStatus {
         id: target.entry.id.clone(),
         service: target.entry.service.clone(),
@@ -116,9 +158,16 @@
         is_failing: target.breaker.is_failing(now),
         own_requests: target.load.own_requests(),
         load_age_ms: target.load.report_age(now).map(millis),
+        pace_percent: target.load.pace.percent(now),
+        pace_age_ms: target.load.pace.age(now).map(millis),
         heard_ms_ago: millis(now.saturating_sub(target.last_received_at)),
         limit_per_s: rate.map(RequestRate::per_s),
-        share_per_s: rate.map(|_| target.limit.share_per_s(now)),
+        share_per_s: target
+            .needs_permit(now)
+            .then(|| target.limit.share_per_s(now)),
         limit_age_ms: notice.map(|notice| millis(notice.age(now))),
+        cold_per_s: cold.map(|(rate, _)| rate.per_s()),
+        cold_left_ms: cold.map(|_| millis(target.cold_left(now))),
+        coldness: cold.map(|(_, coldness)| compact_str::format_compact!("{coldness:?}")),
     }
 }
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -36,7 +36,9 @@
         }
         StoreUpdate::Target(entry) => apply_target(edge, now, entry, cause),
         StoreUpdate::UnreadableTarget { id, reason } => {
-            if edge.state.borrow_mut().directory.reject(now, &id) {
+            let directory = &mut edge.state.borrow_mut().directory;
+            let has_left = directory.reject(now, &id);
+            if directory.record_unreadable(&id) || has_left {
                 log::warn!(target:% = id, reason:%; "target_entry_unreadable");
             }
         }
@@ -61,6 +63,8 @@
             state.daemons.retain(|daemon| daemon.id != id);
             state.update_allocators(now, &edge.settings.daemon);
         }
+        // The follower applies them, as it knows what the copy of the store said before.
+        StoreUpdate::Evacuated { .. } | StoreUpdate::EvacuationEnded { .. } => {}
         StoreUpdate::TargetGone { id } => {
             let mut state = edge.state.borrow_mut();
             let Some(target) = state.directory.remove(now, &id) else {
@@ -77,9 +81,11 @@
 fn apply_config(edge: &Edge, config: RoutingConfig) {
     let version = config.version();
     let (routes, services, keys) = config.sizes();
+    let cold_limits = config.cold_limits();
     let mut state = edge.state.borrow_mut();
     match state.config.offer(version, Rc::new(config)) {
         Offered::NowInForce { before } => {
+            state.directory.set_cold_limits(cold_limits);
             log::info!(version, version_before = before, routes, services, keys; "configuration_in_force");
         }
         Offered::Older { kept } => log_older_ignored(version, kept),
--- a/crates/lapismoorctl/src/where_to.rs
+++ b/crates/lapismoorctl/src/where_to.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lapismoor_edge::{DryRun, DryRunQuery, PlacementReport, TargetReport};
+use lapismoor_edge::{CostReport, DryRun, DryRunQuery, PlacementReport, TargetReport};
 use serde_json::json;
 
 use crate::arguments::WhereQuery;
@@ -59,14 +59,20 @@
         push_line(
             &mut text,
             &format!(
-                "  admission: {}, {} of {} in flight, {} queued ahead, expected wait {} ms",
+                "  admission: {}, {} of {} in flight, {} queued ahead, expected wait {}, rank {}",
                 admission.decision,
                 admission.in_flight,
                 admission.limit,
                 admission.queued_ahead,
-                admission.expected_wait_ms,
+                admission
+                    .expected_wait_ms
+                    .map_or("without end".into(), |millis| format!("{millis} ms")),
+                admission.rank,
             ),
         );
+        if let Some(by_cost) = &admission.by_cost {
+            push_line(&mut text, &render_cost(by_cost));
+        }
     }
     if let Some(choice) = &report.choice {
         push_line(
@@ -124,6 +130,18 @@
     format!("goes to {}", target.unwrap_or("no target"))
 }
 
+fn render_cost(by_cost: &CostReport) -> String {
+    format!(
+        "    {:.0} % of its rank are sent, due in {} ms, timeout in {} ms, answer expected after {} ms, \
+         work {} %",
+        by_cost.sent_fraction * 100.0,
+        by_cost.due_in_ms,
+        by_cost.deadline_in_ms,
+        by_cost.answer_time_ms,
+        by_cost.work_percent,
+    )
+}
+
 fn render_route(report: &DryRun) -> String {
     format!(
         "  route {}, workspace {}, service {}",
@@ -152,6 +170,10 @@
             ),
         );
     }
+    if !placement.cold.is_empty() {
+        let cold = placement.cold.join(", ");
+        push_line(text, &format!("    cold, home of other parts: {cold}"));
+    }
 }
 
 fn render_target(target: &TargetReport) -> String {
