--- a/crates/core/src/routing/preview.rs
+++ b/crates/core/src/routing/preview.rs
@@ -14,8 +14,6 @@
     pub target: &'a KnownTarget,
     /// Estimated requests in flight; `None` for targets that cannot get the request at all.
     pub load: Option<f64>,
-    /// Load times the pace of the last seconds, in requests at the usual pace; `None` as for `load`.
-    pub work: Option<f64>,
     /// Why it does not get the request, or only if no other can.
     pub exclusion: Option<Exclusion>,
 }
@@ -34,8 +32,6 @@
     pub cold: Vec<TargetKey>,
     /// Load at which a home no longer gets the request, in requests in flight.
     pub bound: f64,
-    /// Work at which it no longer does, in requests at the usual pace.
-    pub work_bound: f64,
 }
 
 /// Where a request would go now.
@@ -69,7 +65,6 @@
         TargetPreview {
             target,
             load: candidate.map(|candidate| candidate.load),
-            work: candidate.map(|candidate| candidate.lasting_work),
             exclusion,
         }
     };
--- a/crates/edge/src/serve/dry_run.rs
+++ b/crates/edge/src/serve/dry_run.rs
@@ -32,8 +32,6 @@
 const MAX_HOMES: usize = 8;
 /// Exclusion of a home that has too much load.
 const ABOVE_BOUND: &str = "above_bound";
-/// Exclusion of a home whose load is too much at its pace.
-const ABOVE_WORK_BOUND: &str = "above_work_bound";
 
 /// The request to be explained.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -174,8 +172,7 @@
     pub is_home: bool,
     /// Estimated requests in flight there.
     pub load: f64,
-    /// Why it does not get the request; as in [`TargetReport`], `above_bound` or
-    /// `above_work_bound`.
+    /// Why it does not get the request; as in [`TargetReport`], `above_bound`.
     pub exclusion: Option<CompactString>,
 }
 
@@ -379,14 +376,7 @@
     let cold = placement.cold.iter().filter_map(find).take(MAX_HOMES);
     let to_report = |(rank, preview): (usize, &TargetPreview<'_>)| {
         let load = preview.load.unwrap_or_default();
-        let has_much_work = preview
-            .work
-            .is_some_and(|work| work >= placement.work_bound);
-        let above = if load >= placement.bound {
-            Some(ABOVE_BOUND)
-        } else {
-            has_much_work.then_some(ABOVE_WORK_BOUND)
-        };
+        let above = (load >= placement.bound).then_some(ABOVE_BOUND);
         let exclusion = preview.exclusion.map(|exclusion| exclusion.name());
         HomeReport {
             target: preview.target.entry.id.clone(),
