--- a/crates/core/src/admission/cost_gate.rs
+++ b/crates/core/src/admission/cost_gate.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::admission::cost::{Prospect, RequestNeed};
-use crate::admission::gate::{Admission, GateLimits, Ticket};
+use crate::admission::gate::{Admission, GateLimits, GatePreview, Ticket};
 use crate::admission::queue::{Queue, QueuedItem};
 use crate::clock::Moment;
 
@@ -33,6 +33,16 @@
     need: RequestNeed,
 }
 
+/// Place of a new request in the queue.
+struct Place {
+    /// Whether it is among those that can be on time.
+    is_on_time: bool,
+    /// Queued requests that would be sent before it.
+    ahead: usize,
+    /// Expected wait; `None` if as much arrives as ends.
+    wait: Option<Duration>,
+}
+
 /// Admission gate of one service at one daemon.
 #[derive(Debug, Clone)]
 pub struct CostGate {
@@ -71,24 +81,15 @@
         self.arrivals.count(now, need.work_percent);
         self.move_late(now, limits);
         let limit = limits.for_rank(need.priority.rank);
-        let is_on_time = need.prospect(now) == Prospect::OnTime;
-        let mut ahead = self.ahead_on_time(need);
-        if !is_on_time {
-            ahead += self.late.len();
-        }
-        if self.in_flight < limit && ahead == 0 {
+        if self.in_flight < limit && self.ahead(now, need) == 0 {
             self.in_flight += 1;
             return Admission::Admit;
         }
-        let starts_at = now + self.expected_wait(ahead, limit);
-        let joins_on_time = need.prospect(starts_at) == Prospect::OnTime;
-        if !joins_on_time {
-            let ahead = self.on_time.len() + self.late.len();
-            let wait = self.expected_late_wait(now, ahead, limit);
-            if wait.is_none_or(|wait| need.prospect(now + wait) == Prospect::Lost) {
-                let retry_after = self.retry_after(limits);
-                return Admission::Refuse { retry_after };
-            }
+        let place = self.place(now, limit, need);
+        let is_lost = |wait| need.prospect(now + wait) == Prospect::Lost;
+        if !place.is_on_time && place.wait.is_none_or(is_lost) {
+            let retry_after = self.retry_after(limits);
+            return Admission::Refuse { retry_after };
         }
         let mut evicted = None;
         if self.queued() >= limits.queue_limit {
@@ -104,7 +105,7 @@
             ticket,
             need: need.clone(),
         };
-        if joins_on_time {
+        if place.is_on_time {
             push(&mut self.on_time, now, waiting, position_on_time);
         } else {
             push(&mut self.late, now, waiting, position_late);
@@ -112,6 +113,30 @@
         Admission::Wait { ticket, evicted }
     }
 
+    /// What [`Self::admit`] would decide now. Changes nothing.
+    #[must_use]
+    pub fn preview(&self, now: Moment, limits: &GateLimits, need: &RequestNeed) -> GatePreview {
+        let limit = limits.for_rank(need.priority.rank);
+        let mut gate = self.clone();
+        let admission = gate.admit(now, limits, need);
+        let (ahead, expected_wait) = if admission == Admission::Admit {
+            (0, Some(Duration::ZERO))
+        } else {
+            let mut gate = self.clone();
+            gate.arrivals.count(now, need.work_percent);
+            gate.move_late(now, limits);
+            let place = gate.place(now, limit, need);
+            (place.ahead, place.wait)
+        };
+        GatePreview {
+            in_flight: self.in_flight,
+            limit,
+            ahead,
+            expected_wait,
+            admission,
+        }
+    }
+
     /// Records the end of a request that was in flight for `time_in_flight`. Returns the queued
     /// requests that may be sent now.
     pub fn release(
@@ -199,6 +224,32 @@
         (is_replaced && self.cancel(ticket)).then_some(ticket)
     }
 
+    /// Queued requests that would be sent before a new one.
+    fn ahead(&self, now: Moment, need: &RequestNeed) -> usize {
+        let is_on_time = need.prospect(now) == Prospect::OnTime;
+        let late = if is_on_time { 0 } else { self.late.len() };
+        self.ahead_on_time(need) + late
+    }
+
+    /// Where a new request would join the queue.
+    fn place(&self, now: Moment, limit: usize, need: &RequestNeed) -> Place {
+        let ahead = self.ahead(now, need);
+        let wait = self.expected_wait(ahead, limit);
+        if need.prospect(now + wait) == Prospect::OnTime {
+            return Place {
+                is_on_time: true,
+                ahead,
+                wait: Some(wait),
+            };
+        }
+        let ahead = self.queued();
+        Place {
+            is_on_time: false,
+            ahead,
+            wait: self.expected_late_wait(now, ahead, limit),
+        }
+    }
+
     fn ahead_on_time(&self, need: &RequestNeed) -> usize {
         let priority = &need.priority;
         self.on_time
--- a/crates/core/src/admission/shedding.rs
+++ b/crates/core/src/admission/shedding.rs
@@ -37,9 +37,20 @@
     /// Counts a request, and decides whether it is sent. `draw` is evenly distributed between 0 and
     /// 1. The most urgent rank is always sent.
     pub fn admit(&mut self, now: Moment, service: &ServiceId, rank: u8, draw: f64) -> bool {
+        draw < self.count(now, service, rank)
+    }
+
+    /// Fraction of the requests of a rank that [`Self::admit`] would send, counting one more. Changes
+    /// nothing.
+    #[must_use]
+    pub fn preview(&self, now: Moment, service: &ServiceId, rank: u8) -> f64 {
+        self.clone().count(now, service, rank)
+    }
+
+    fn count(&mut self, now: Moment, service: &ServiceId, rank: u8) -> f64 {
         let demand = self.service(service);
         demand.count(now, rank);
-        draw < demand.fraction_of(now, rank)
+        demand.fraction_of(now, rank)
     }
 
     /// Records that a target answered on time, or that it rejected a request or answered late.
--- a/crates/core/src/routing/candidates.rs
+++ b/crates/core/src/routing/candidates.rs
@@ -4,7 +4,8 @@
 
 use crate::clock::Moment;
 use crate::membership::{Directory, KnownTarget};
-use crate::routing::choice::{NoTarget, TargetQuery, placement_parts};
+use crate::routing::choice::{NoTarget, TargetQuery};
+use crate::routing::exclusion::bar;
 
 /// Permits that a request asks for before it goes to a target without a limit, or to none. Each one
 /// takes a call to another daemon.
@@ -23,8 +24,10 @@
     pub(super) load: f64,
     pub(super) is_usable: bool,
     pub(super) is_healthy: bool,
+    /// Whether it has no limit and takes what others don't take within theirs.
+    pub(super) takes_overflow: bool,
     /// Time until the target may have room within its limit; zero if it may now.
-    room_in: Duration,
+    pub(super) room_in: Duration,
 }
 
 impl Candidate<'_> {
@@ -98,23 +101,6 @@
     }
 }
 
-/// Whether the target's failure domain is evacuated, and the request is served elsewhere now.
-fn has_moved(
-    now: Moment,
-    directory: &Directory,
-    target: &KnownTarget,
-    query: &TargetQuery<'_>,
-    moves_first: bool,
-) -> bool {
-    if !directory.is_evacuated(target) {
-        return false;
-    }
-    let part = placement_parts(query.parts).last();
-    let order = part.map_or(query.request, |part| part.id);
-    let domain = &target.entry.domain;
-    moves_first || directory.evacuations.has_moved(now, domain, order)
-}
-
 /// The targets that may serve the request in `query`, and the room that each has. A request that
 /// `moves_first` leaves a failure domain as soon as that is evacuated.
 pub(super) fn candidates<'a>(
@@ -125,9 +111,7 @@
 ) -> Vec<Candidate<'a>> {
     let targets = directory.listed(query.service);
     let targets: Vec<&KnownTarget> = targets
-        .filter(|target| query.version.allows(target.version))
-        .filter(|target| directory.is_in_homes(target, &query.homes))
-        .filter(|target| !has_moved(now, directory, target, query, moves_first))
+        .filter(|target| bar(now, directory, target, query, moves_first).is_none())
         .collect();
     let reports = targets
         .iter()
@@ -144,12 +128,14 @@
         load: target.load.estimate(now, mean_others),
         is_usable: may_get_request(target),
         is_healthy: !target.breaker.is_failing(now),
+        takes_overflow: false,
         room_in: room_in(now, target, query),
         target,
     };
     let mut candidates: Vec<Candidate<'_>> = targets.into_iter().map(to_candidate).collect();
     if candidates.iter().any(Candidate::has_limit) {
         for candidate in candidates.iter_mut().filter(|one| !one.has_limit()) {
+            candidate.takes_overflow = true;
             candidate.room_in = overflow_wait(candidate);
         }
     }
--- a/crates/edge/src/admission.rs
+++ b/crates/edge/src/admission.rs
@@ -6,7 +6,7 @@
 
 use lapismoor_core::Moment;
 use lapismoor_core::admission::gate::{
-    Admission, Gate, GateLimits, MIN_RETRY_AFTER, Ticket, max_wait,
+    Admission, Gate, GateLimits, GatePreview, MIN_RETRY_AFTER, Ticket, max_wait,
 };
 use lapismoor_core::admission::{CostGate, Refusal, RequestNeed, gate_limits, room_limits};
 use lapismoor_core::ids::ServiceId;
@@ -47,6 +47,54 @@
     pub hash: u64,
 }
 
+/// What admission would decide about a request.
+pub(crate) struct PermitPreview {
+    /// What the gate in force would decide, if the request is not turned away before.
+    pub gate: GatePreview,
+    /// `None` if the configuration sets the number of requests per target.
+    pub by_cost: Option<CostPreview>,
+}
+
+/// Whether a request would be sent while targets reject others.
+pub(crate) struct CostPreview {
+    pub is_sent: bool,
+    /// Fraction of the requests of its rank that are sent.
+    pub sent_fraction: f64,
+}
+
+impl PermitPreview {
+    /// Why the request would be refused now; `None` if it would be sent or queued.
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
+        if self.is_turned_away() {
+            let retry_after = MIN_RETRY_AFTER;
+            return Some(Refusal::Full { retry_after });
+        }
+        match self.gate.admission {
+            Admission::Admit | Admission::Wait { .. } => None,
+            Admission::Refuse { retry_after } => Some(Refusal::Full { retry_after }),
+            Admission::QueueFull { retry_after } => Some(Refusal::QueueFull { retry_after }),
+        }
+    }
+
+    /// Name of the decision in reports.
+    pub(crate) fn decision(&self) -> &'static str {
+        if self.is_turned_away() {
+            return "turned_away";
+        }
+        match self.gate.admission {
+            Admission::Admit => "admit",
+            Admission::Wait { .. } => "queued",
+            Admission::Refuse { .. } | Admission::QueueFull { .. } => "refused",
+        }
+    }
+
+    fn is_turned_away(&self) -> bool {
+        self.by_cost
+            .as_ref()
+            .is_some_and(|by_cost| !by_cost.is_sent)
+    }
+}
+
 /// Permit for one request in flight. Dropping it admits queued requests.
 pub struct Permit {
     edge: Rc<Edge>,
@@ -136,6 +184,15 @@
         });
         act(&mut services[position].1)
     }
+
+    /// Looks at the state of a service without adding it.
+    fn look_at<T>(&self, service: &ServiceId, look: impl FnOnce(&ServiceAdmission) -> T) -> T {
+        let services = self.services.borrow();
+        match services.binary_search_by(|(known, _)| known.cmp(service)) {
+            Ok(position) => look(&services[position].1),
+            Err(_) => look(&ServiceAdmission::default()),
+        }
+    }
 }
 
 impl Edge {
@@ -213,17 +270,45 @@
         })
     }
 
+    /// What [`Self::acquire_permit`] would decide now. Changes nothing.
+    pub(crate) fn preview_permit(&self, request: &PermitRequest<'_>) -> PermitPreview {
+        let now = self.now();
+        let (service, need) = (request.service, &request.need);
+        let (limits, is_by_cost) = self.gate_limits(service);
+        if !is_by_cost {
+            let max_wait = max_wait(request.latency_objective, request.received, now);
+            let preview = |admission: &ServiceAdmission| {
+                let priority = &need.priority;
+                admission.gate.preview(now, &limits, priority, max_wait)
+            };
+            return PermitPreview {
+                gate: self.admission.look_at(service, preview),
+                by_cost: None,
+            };
+        }
+        let shedding = &self.state.borrow().shedding;
+        let sent_fraction = shedding.preview(now, service, need.priority.rank);
+        let is_sent = draw(request.hash) < sent_fraction;
+        let preview =
+            |admission: &ServiceAdmission| admission.cost_gate.preview(now, &limits, need);
+        PermitPreview {
+            gate: self.admission.look_at(service, preview),
+            by_cost: Some(CostPreview {
+                is_sent,
+                sent_fraction,
+            }),
+        }
+    }
+
     /// Whether a request is sent while targets reject others, in favour of which less urgent ones are
     /// turned away.
-    #[expect(clippy::cast_precision_loss)]
     fn is_sent_under_pressure(&self, service: &ServiceId, need: &RequestNeed, hash: u64) -> bool {
         if !self.settings.tuning.urgent_first {
             return true;
         }
         let now = self.now();
-        let draw = hash as f64 / u64::MAX as f64;
         let shedding = &mut self.state.borrow_mut().shedding;
-        shedding.admit(now, service, need.priority.rank, draw)
+        shedding.admit(now, service, need.priority.rank, draw(hash))
     }
 
     /// Logs the inputs of a decision that did not admit a request at once.
@@ -314,3 +399,9 @@
         (room_limits(now, &known, reachable, share, rooms), true)
     }
 }
+
+/// Number from 0 to 1 for the hash of a request.
+#[expect(clippy::cast_precision_loss)]
+fn draw(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -14,7 +14,7 @@
     AttemptCounts, AttemptEnd, MAX_SOUND_SILENCE, NextStep, Obstacle, OverdueRequest, RetryPolicy,
     may_replace,
 };
-use lapismoor_core::routing::{Choice, NoTarget, TargetQuery};
+use lapismoor_core::routing::{Choice, NoTarget, PromptPart, TargetQuery};
 use lapismoor_core::stream::VersionBinding;
 use opentelemetry::trace::SpanKind;
 
@@ -36,7 +36,7 @@
 /// Time until a request may find room that was not tried in favour of others.
 const OVERLOAD_WAIT: Duration = Duration::from_millis(500);
 /// Number of permits after which a request asks for none.
-const ASKS_NO_PERMIT: usize = usize::MAX;
+pub(super) const ASKS_NO_PERMIT: usize = usize::MAX;
 /// Time between two looks for a target while there is none.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -116,12 +116,10 @@
 
 impl Job {
     pub(crate) fn new(edge: Rc<Edge>, guard: CallerGuard, request: AdmittedRequest) -> Self {
-        let timeout = request.route.timeout;
-        let caller_timeout = request.envelope.deadline.unwrap_or(timeout);
         edge.count_request(&request.service);
         let fingerprint = fingerprint(&request);
         Self {
-            deadline: request.received.saturating_add(caller_timeout.min(timeout)),
+            deadline: deadline(&request),
             tried: RefCell::default(),
             declined: RefCell::default(),
             may_repeat_target: Cell::new(false),
@@ -153,41 +151,16 @@
     pub(crate) async fn acquire_permit(&mut self) -> Result<(), Refusal> {
         let edge = Rc::clone(&self.edge);
         let started_at = edge.now();
-        let permit = edge.acquire_permit(PermitRequest {
-            id: &self.request.envelope.id,
-            service: &self.request.service,
-            latency_objective: self.request.route.latency_objective,
-            need: self.need(),
-            received: self.request.received,
-            hash: request_hash(&self.request.envelope.id),
-        });
+        let permit = edge.acquire_permit(permit_request(&edge, &self.request));
         self.permit = Some(permit.await?);
         self.queue_wait = edge.now().saturating_sub(started_at);
         edge.metrics.record_wait(self.queue_wait);
         Ok(())
     }
 
-    /// What the request needs, and until when.
-    pub(crate) fn need(&self) -> RequestNeed {
-        let objective = self.request.route.latency_objective;
-        let route = &self.request.route.name;
-        let expected = {
-            let state = self.edge.state.borrow();
-            state.answer_times.expected(route, self.work())
-        };
-        RequestNeed::new(
-            self.request.priority.clone(),
-            self.request.received,
-            objective,
-            self.deadline,
-            expected.as_ref(),
-        )
-    }
-
     /// Work of the request in units that are comparable within a route: tokens of the prompt.
     pub(crate) fn work(&self) -> u32 {
-        let tokens = self.request.envelope.parts.iter().map(|part| part.tokens);
-        tokens.fold(0, u32::saturating_add).max(1)
+        work(&self.request)
     }
 
     /// Time until the deadline.
@@ -206,18 +179,12 @@
     /// Why the request is not tried: its home has no room, and that of others is left to more urgent
     /// requests. `None` if its home needs no permit, or is only cold and another target is not.
     pub(crate) fn reason_for_overload(&self) -> Option<NoTarget> {
-        let (target, left) = match self.choose(&[], false, ASKS_NO_PERMIT) {
-            Ok(choice) => (
-                choice
-                    .limited
-                    .filter(|target| self.edge.names_limit(*target))?,
-                OVERLOAD_WAIT,
-            ),
-            Err(NoTarget::Limited { left, target }) => (target, left),
-            Err(_) => return None,
-        };
-        report::limit_reached(self, target, Some(left), "refused");
-        Some(NoTarget::Limited { left, target })
+        let choice = self.choose(&[], false, ASKS_NO_PERMIT);
+        let reason = overload_reason(choice, |target| self.edge.names_limit(target))?;
+        if let NoTarget::Limited { left, target } = reason {
+            report::limit_reached(self, target, Some(left), "refused");
+        }
+        Some(reason)
     }
 
     fn record_room(&self, has_found_room: bool) {
@@ -291,22 +258,18 @@
         let now = self.edge.now();
         // Requests that share a prompt part and were interrupted together would otherwise follow
         // the one that crashes targets from home to home.
-        let parts = if self.request.route.is_sticky && !self.has_crashed_targets() {
-            self.request.envelope.parts.as_slice()
-        } else {
+        let parts = if self.has_crashed_targets() {
             &[]
+        } else {
+            placement_parts(&self.request)
         };
         let query = TargetQuery {
-            service: &self.request.service,
             parts,
             version: self.version.get(),
-            request: request_hash(&self.request.envelope.id),
             tried,
             may_repeat_target,
-            preference: self.request.preference.clone(),
-            priority: &self.permit_priority,
-            homes: self.request.homes(),
             permits_denied,
+            ..first_query(&self.request, &self.permit_priority)
         };
         let mut state = self.edge.state.borrow_mut();
         let state = &mut *state;
@@ -583,9 +546,89 @@
 /// Ranks that a route can have among requests with the same rank.
 const RANKS_WITHIN_RANK: u8 = 16;
 
+/// Deadline of the caller or timeout of the route, whichever is earlier.
+fn deadline(request: &AdmittedRequest) -> Moment {
+    let timeout = request.route.timeout;
+    let caller_timeout = request.envelope.deadline.unwrap_or(timeout);
+    request.received.saturating_add(caller_timeout.min(timeout))
+}
+
+fn work(request: &AdmittedRequest) -> u32 {
+    let tokens = request.envelope.parts.iter().map(|part| part.tokens);
+    tokens.fold(0, u32::saturating_add).max(1)
+}
+
+/// What admission is asked about a request.
+pub(super) fn permit_request<'a>(edge: &Edge, request: &'a AdmittedRequest) -> PermitRequest<'a> {
+    let route = &request.route;
+    let expected = {
+        let state = edge.state.borrow();
+        state.answer_times.expected(&route.name, work(request))
+    };
+    PermitRequest {
+        id: &request.envelope.id,
+        service: &request.service,
+        latency_objective: route.latency_objective,
+        need: RequestNeed::new(
+            request.priority.clone(),
+            request.received,
+            route.latency_objective,
+            deadline(request),
+            expected.as_ref(),
+        ),
+        received: request.received,
+        hash: request_hash(&request.envelope.id),
+    }
+}
+
+/// What determines the target of the first attempt of a request.
+pub(super) fn first_query<'a>(
+    request: &'a AdmittedRequest,
+    permit_priority: &'a Priority,
+) -> TargetQuery<'a> {
+    TargetQuery {
+        service: &request.service,
+        parts: placement_parts(request),
+        version: VersionBinding::Free,
+        request: request_hash(&request.envelope.id),
+        tried: &[],
+        may_repeat_target: false,
+        preference: request.preference.clone(),
+        priority: permit_priority,
+        homes: request.homes(),
+        permits_denied: 0,
+    }
+}
+
+/// Why a request is not tried in favour of others, by the choice that it would get without asking for
+/// permits; `None` if its home needs none, or is only cold and another target is not.
+pub(super) fn overload_reason(
+    choice: Result<Choice, NoTarget>,
+    names_limit: impl FnOnce(TargetKey) -> bool,
+) -> Option<NoTarget> {
+    let (target, left) = match choice {
+        Ok(choice) => (
+            choice.limited.filter(|target| names_limit(*target))?,
+            OVERLOAD_WAIT,
+        ),
+        Err(NoTarget::Limited { left, target }) => (target, left),
+        Err(_) => return None,
+    };
+    Some(NoTarget::Limited { left, target })
+}
+
+/// The prompt parts by which a request is routed, if its route is sticky.
+fn placement_parts(request: &AdmittedRequest) -> &[PromptPart] {
+    if request.route.is_sticky {
+        &request.envelope.parts
+    } else {
+        &[]
+    }
+}
+
 /// A workspace's rank goes before that of the route, which decides between requests with the same
 /// one.
-fn permit_priority(request: &AdmittedRequest) -> Priority {
+pub(super) fn permit_priority(request: &AdmittedRequest) -> Priority {
     let rank = request.priority.rank.saturating_mul(RANKS_WITHIN_RANK);
     let rank_of_route = request.route.rank.min(RANKS_WITHIN_RANK - 1);
     Priority {
