--- a/crates/core/src/routing/choice.rs
+++ b/crates/core/src/routing/choice.rs
@@ -310,7 +310,8 @@
         if candidates.is_empty() {
             return (None, Err(why_none(directory, query)));
         }
-        let bounds = self.bounds(candidates, query.preference.bound.as_ref());
+        let evacuated = evacuated_loads(now, directory, query, candidates);
+        let bounds = self.bounds(candidates, evacuated, query.preference.bound.as_ref());
         let shared_part = placement_parts(query.parts).last();
         let placement = shared_part.map(|part| self.place(now, candidates, query, (part, bounds)));
         let choice = match &placement {
@@ -498,7 +499,12 @@
     }
 
     #[expect(clippy::cast_precision_loss)]
-    fn bounds(&self, candidates: &[Candidate<'_>], override_bound: Option<&LoadBound>) -> Bounds {
+    fn bounds(
+        &self,
+        candidates: &[Candidate<'_>],
+        evacuated: Vec<f64>,
+        override_bound: Option<&LoadBound>,
+    ) -> Bounds {
         let bound = override_bound.unwrap_or(&self.bound);
         // Targets with a limit have less than an even share, which the others carry.
         let unlimited = candidates.iter().filter(|one| !one.has_limit());
@@ -506,6 +512,7 @@
         if loads.is_empty() {
             loads = candidates.iter().map(|candidate| candidate.load).collect();
         }
+        loads.extend(evacuated);
         let mean = loads.iter().sum::<f64>() / loads.len() as f64;
         let multiple = f64::from(bound.percent) / 100.0;
         let max_load = multiple * mean + f64::from(bound.extra) - BOUND_MARGIN_REQUESTS;
@@ -516,6 +523,23 @@
     }
 }
 
+/// Loads of the evacuated targets that are no candidates. They count in the mean load of the service,
+/// to which the load bound of the others is relative.
+fn evacuated_loads(
+    now: Moment,
+    directory: &Directory,
+    query: &TargetQuery<'_>,
+    candidates: &[Candidate<'_>],
+) -> Vec<f64> {
+    let is_candidate = |key| candidates.iter().any(|one| one.target.key == key);
+    let evacuated = directory
+        .listed(query.service)
+        .filter(|target| directory.is_evacuated(target) && !is_candidate(target.key));
+    evacuated
+        .map(|target| target.load.estimate(now, 0.0))
+        .collect()
+}
+
 /// The part by which a request is counted, once for all of its permits.
 fn counted_part<'a>(query: &TargetQuery<'a>) -> Option<&'a PromptPart> {
     let part = placement_parts(query.parts).last();
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -315,8 +315,7 @@
         let daemon = self.rng.random_range(0..self.daemons.len());
         let target = self.choose(now, daemon, part, kind.part_tokens);
         let total: u32 = self.targets.iter().map(|target| target.in_flight).sum();
-        let remaining = (0..self.targets.len()).filter(|target| !self.is_evacuated(*target));
-        let mean = f64::from(total) / ratio(remaining.count(), 1);
+        let mean = f64::from(total) / ratio(self.targets.len(), 1);
         if self.is_evacuated(usize::try_from(target).expect("small") - 1) {
             outcome.to_evacuated.push(now);
         }
