Reach targets through another daemon while the own path is lost

Cause: there was one way to a target. Each daemon took a connection that it could not open for the target's fault, paused the target, and counted a refusal as its crash.

Change: core/membership/reach.rs estimates which daemon reaches which target, from the daemon's own connections and from what others answer when they are asked. edge/paths.rs opens every connection to a target (first tries, retries, offers, resumed streams, checks for crashes): directly; through another daemon, asked after 60 ms without a connection or at once after a refusal; through others at once while the path is known, or presumed, to be lost. The other daemon forwards bytes only, always directly, so that permits, budgets, versions, deadlines and the outcome stay with the daemon that has the request. Its answer tells whether anything reached the target; an end frame tells the target's end from the loss of the daemon on the way. relay_slots.rs bounds what is forwarded and divides it among those that ask. Lost paths are probed.

--- /dev/null
+++ b/crates/core/src/membership/reach.rs
@@ -0,0 +1,346 @@
+//! Estimates which daemon reaches which target, from what each of them sees.
+//!
+//! Load pattern: some daemons, or those of a whole failure domain, lose their paths to some or all
+//! targets for seconds, while callers and other daemons still reach them. A target that one daemon
+//! cannot connect to and another one can is sound, and only the path is lost: requests reach it
+//! through the other daemon until the path is back.
+//!
+//! Nothing is exchanged while all paths are sound. A daemon learns what others reach from their
+//! answers to its own calls.
+
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::ids::{DaemonId, FailureDomain, TargetKey};
+use crate::membership::DaemonRecord;
+use crate::routing::rendezvous::rendezvous_order;
+
+/// Time between two probes of a lost path.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Probes that are due at the same time, at most; the others are delayed.
+const MAX_PROBES: usize = 8;
+/// Time after which a path counts as lost for the first time again.
+const STABLE_TIME: Duration = Duration::from_secs(5);
+/// Connections in a row that end the loss of a path that was lost repeatedly.
+const SUCCESSES_AFTER_FLAPPING: u32 = 3;
+/// Time for which a daemon that has no path to a target, or no room, is not asked for it.
+const HELPER_BACKOFF: Duration = Duration::from_secs(1);
+/// Time after a connection in which a path counts as sound when others are lost.
+const RECENT: Duration = Duration::from_secs(2);
+/// Lost paths from which on further ones are presumed to be lost.
+const MIN_LOST_TO_PRESUME: usize = 2;
+
+value! {
+    /// This daemon's path to one target.
+    struct Path {
+        target: TargetKey,
+        /// Since when no connection could be opened; `None` while the path is sound.
+        lost_since: Option<Moment>,
+        /// Whether another daemon has reached the target since then, or is presumed to.
+        is_confirmed: bool,
+        /// When the last connection was opened.
+        connected_at: Option<Moment>,
+        /// When the path was last found to be back.
+        back_at: Option<Moment>,
+        /// Connections in a row since the last failure.
+        successes: u32,
+        /// Connections in a row that end the loss.
+        needed: u32,
+        probe_at: Moment,
+    }
+
+    /// Another daemon, as it answered to this one.
+    struct Helper {
+        daemon: DaemonId,
+        /// Until when it is not asked, since it did not answer.
+        failed_until: Moment,
+        /// Targets to which it has no path or for which it has no room, and until when it is not asked
+        /// for them. Invariant: sorted by target.
+        without_path: Vec<(TargetKey, Moment)>,
+    }
+
+    /// What a connection shows of a path.
+    #[derive(Copy)]
+    pub enum PathChange {
+        /// Nothing new.
+        Same,
+        /// The path is lost, and another daemon reaches the target.
+        Lost,
+        /// The path is back.
+        Back,
+    }
+}
+
+/// What one daemon knows of its own paths and of those of others.
+#[derive(Debug, Clone, Default)]
+pub struct Reach {
+    /// Invariant: sorted by target, one for each.
+    paths: Vec<Path>,
+    /// Invariant: sorted by daemon, one for each.
+    helpers: Vec<Helper>,
+}
+
+impl Reach {
+    /// Records that this daemon opened a connection to a target itself.
+    pub fn record_connected(&mut self, now: Moment, target: TargetKey) -> PathChange {
+        let path = self.path_mut(target);
+        path.connected_at = Some(now);
+        if path.lost_since.is_none() {
+            return PathChange::Same;
+        }
+        path.successes += 1;
+        path.probe_at = now + PROBE_INTERVAL;
+        if path.is_confirmed && path.successes < path.needed {
+            return PathChange::Same;
+        }
+        let was_confirmed = path.is_confirmed;
+        path.lost_since = None;
+        path.is_confirmed = false;
+        path.back_at = Some(now);
+        if was_confirmed {
+            PathChange::Back
+        } else {
+            PathChange::Same
+        }
+    }
+
+    /// Records that this daemon could not open a connection to a target. Whether the path or the
+    /// target is at fault is known once another daemon has tried.
+    pub fn record_not_connected(&mut self, now: Moment, target: TargetKey) {
+        let path = self.path_mut(target);
+        path.successes = 0;
+        path.probe_at = now + PROBE_INTERVAL;
+        if path.lost_since.is_none() {
+            let was_back = path.back_at.is_some_and(|at| now < at + STABLE_TIME);
+            path.needed = if was_back {
+                SUCCESSES_AFTER_FLAPPING
+            } else {
+                1
+            };
+            path.lost_since = Some(now);
+        }
+    }
+
+    /// Records that another daemon reaches a target.
+    pub fn record_relayed(
+        &mut self,
+        now: Moment,
+        daemon: &DaemonId,
+        target: TargetKey,
+    ) -> PathChange {
+        let helper = self.helper_mut(daemon);
+        helper.failed_until = now;
+        helper.without_path.retain(|(other, _)| *other != target);
+        let path = self.path_mut(target);
+        if path.lost_since.is_none() || path.is_confirmed {
+            return PathChange::Same;
+        }
+        path.is_confirmed = true;
+        PathChange::Lost
+    }
+
+    /// Records that another daemon has no path to a target, or no room for a connection to it.
+    pub fn record_without_path(&mut self, now: Moment, daemon: &DaemonId, target: TargetKey) {
+        let until = now + HELPER_BACKOFF;
+        let helper = self.helper_mut(daemon);
+        helper.without_path.retain(|(_, until)| now < *until);
+        let targets = &mut helper.without_path;
+        match targets.binary_search_by_key(&target, |(target, _)| *target) {
+            Ok(position) => targets[position].1 = until,
+            Err(position) => targets.insert(position, (target, until)),
+        }
+    }
+
+    /// Records that another daemon did not answer, or stops.
+    pub fn record_helper_failed(&mut self, now: Moment, daemon: &DaemonId) {
+        self.helper_mut(daemon).failed_until = now + HELPER_BACKOFF;
+    }
+
+    /// Whether requests reach a target through other daemons: the path is known to be lost, or most
+    /// others are. A path that is presumed to be lost is probed like one that is known to be.
+    pub fn is_lost(&mut self, now: Moment, target: TargetKey) -> bool {
+        if self.is_known_lost(target) {
+            return true;
+        }
+        if !self.presumes_loss(now, target) {
+            return false;
+        }
+        let path = self.path_mut(target);
+        path.lost_since.get_or_insert(now);
+        path.is_confirmed = true;
+        path.successes = 0;
+        path.needed = 1;
+        path.probe_at = now;
+        true
+    }
+
+    /// Whether the path to a target is known to be lost.
+    #[must_use]
+    pub fn is_known_lost(&self, target: TargetKey) -> bool {
+        let position = self.position(target);
+        position.is_ok_and(|position| self.paths[position].is_confirmed)
+    }
+
+    /// Number of paths that are known to be lost.
+    #[must_use]
+    pub fn lost_paths(&self) -> usize {
+        self.paths.iter().filter(|path| path.is_confirmed).count()
+    }
+
+    fn presumes_loss(&self, now: Moment, target: TargetKey) -> bool {
+        let lost = self.paths.iter().filter(|path| path.is_confirmed);
+        let Some(first_lost_at) = lost.clone().filter_map(|path| path.lost_since).min() else {
+            return false;
+        };
+        let lost = lost.count();
+        let is_sound = |path: &&Path| {
+            let is_recent = |at| at >= first_lost_at && now < at + RECENT;
+            path.lost_since.is_none() && path.connected_at.is_some_and(is_recent)
+        };
+        let is_target_sound = self
+            .position(target)
+            .is_ok_and(|position| is_sound(&&self.paths[position]));
+        let sound = self.paths.iter().filter(is_sound).count();
+        lost >= MIN_LOST_TO_PRESUME && lost > sound && !is_target_sound
+    }
+
+    /// The daemons to ask for a connection to a target in `domain`, best first: those without a known
+    /// obstacle, in the target's failure domain, in the own one `own_domain`, in others. `request`
+    /// spreads requests over equal ones.
+    #[must_use]
+    pub fn helpers<'a>(
+        &self,
+        now: Moment,
+        query: &HelperQuery<'_>,
+        daemons: &'a [DaemonRecord],
+    ) -> Vec<&'a DaemonRecord> {
+        let names = daemons.iter().map(|daemon| daemon.id.as_str());
+        let mut helpers = Vec::new();
+        for position in rendezvous_order(query.request, names) {
+            let daemon = &daemons[position];
+            if daemon.id == *query.own {
+                continue;
+            }
+            let known = self.helper(&daemon.id);
+            let (is_excluded, is_doubtful) = known.map_or((false, false), |helper| {
+                let mut without_path = helper.without_path.iter();
+                let lacks = |wanted| {
+                    move |(target, until): &(TargetKey, Moment)| now < *until && wanted == *target
+                };
+                let is_excluded =
+                    now < helper.failed_until || without_path.clone().any(lacks(query.target));
+                (is_excluded, without_path.any(|(_, until)| now < *until))
+            });
+            if is_excluded {
+                continue;
+            }
+            let distance = if daemon.domain == *query.target_domain {
+                0
+            } else if daemon.domain == *query.own_domain {
+                1
+            } else {
+                2
+            };
+            helpers.push(((is_doubtful, distance), daemon));
+        }
+        helpers.sort_by_key(|(order, _)| *order);
+        helpers.into_iter().map(|(_, daemon)| daemon).collect()
+    }
+
+    /// When the next probe is due; `None` if no path is lost.
+    #[must_use]
+    pub fn next_probe_at(&self) -> Option<Moment> {
+        let lost = self.paths.iter().filter(|path| path.is_confirmed);
+        lost.map(|path| path.probe_at).min()
+    }
+
+    /// Returns the targets whose paths must be probed now, at most [`MAX_PROBES`], those first that
+    /// have waited for longest.
+    pub fn take_probes(&mut self, now: Moment) -> Vec<TargetKey> {
+        let lost = self.paths.iter().filter(|path| path.is_confirmed);
+        let due = lost.filter(|path| path.probe_at <= now);
+        let mut due: Vec<(Moment, TargetKey)> =
+            due.map(|path| (path.probe_at, path.target)).collect();
+        due.sort_unstable();
+        due.truncate(MAX_PROBES);
+        let due: Vec<TargetKey> = due.into_iter().map(|(_, target)| target).collect();
+        for target in &due {
+            self.path_mut(*target).probe_at = now + PROBE_INTERVAL;
+        }
+        due
+    }
+
+    /// Forgets targets that are not known any more, and what is too old to matter.
+    pub fn sweep(&mut self, now: Moment, is_known: impl Fn(TargetKey) -> bool) {
+        self.paths.retain(|path| {
+            let is_needed = path.is_confirmed
+                || path.connected_at.is_some_and(|at| now < at + RECENT)
+                || path.back_at.is_some_and(|at| now < at + STABLE_TIME)
+                || path.lost_since.is_some_and(|at| now < at + RECENT);
+            is_needed && is_known(path.target)
+        });
+        self.helpers.retain_mut(|helper| {
+            helper.without_path.retain(|(_, until)| now < *until);
+            now < helper.failed_until || !helper.without_path.is_empty()
+        });
+    }
+
+    fn position(&self, target: TargetKey) -> Result<usize, usize> {
+        self.paths.binary_search_by_key(&target, |path| path.target)
+    }
+
+    fn path_mut(&mut self, target: TargetKey) -> &mut Path {
+        let position = self.position(target).unwrap_or_else(|position| {
+            let path = Path {
+                target,
+                lost_since: None,
+                is_confirmed: false,
+                connected_at: None,
+                back_at: None,
+                successes: 0,
+                needed: 1,
+                probe_at: Moment::ZERO,
+            };
+            self.paths.insert(position, path);
+            position
+        });
+        &mut self.paths[position]
+    }
+
+    fn helper(&self, daemon: &DaemonId) -> Option<&Helper> {
+        let helpers = &self.helpers;
+        let found = helpers.binary_search_by(|helper| helper.daemon.cmp(daemon));
+        found.ok().map(|position| &helpers[position])
+    }
+
+    fn helper_mut(&mut self, daemon: &DaemonId) -> &mut Helper {
+        let found = self
+            .helpers
+            .binary_search_by(|helper| helper.daemon.cmp(daemon));
+        let position = found.unwrap_or_else(|position| {
+            let helper = Helper {
+                daemon: daemon.clone(),
+                failed_until: Moment::ZERO,
+                without_path: Vec::new(),
+            };
+            self.helpers.insert(position, helper);
+            position
+        });
+        &mut self.helpers[position]
+    }
+}
+
+/// For which request another daemon is wanted.
+#[derive(Debug, Clone, Copy)]
+pub struct HelperQuery<'a> {
+    /// Target of the request.
+    pub target: TargetKey,
+    /// Failure domain of the target.
+    pub target_domain: &'a FailureDomain,
+    /// The daemon that asks.
+    pub own: &'a DaemonId,
+    /// Its failure domain.
+    pub own_domain: &'a FailureDomain,
+    /// Hash of the request.
+    pub request: u64,
+}
--- a/crates/core/src/retry/breaker.rs
+++ b/crates/core/src/retry/breaker.rs
@@ -61,6 +61,13 @@
         self.backoff
     }
 
+    /// Records that the target accepted a connection on another way, and closes the breaker. Says
+    /// nothing about its answers.
+    pub fn record_reached(&mut self) {
+        self.open_until = None;
+        self.backoff = Duration::ZERO;
+    }
+
     fn record_outcome(&mut self, now: Moment, is_failure: bool) {
         let outcome = if is_failure { 1.0 } else { 0.0 };
         self.failure_share += OUTCOME_WEIGHT * (outcome - self.failure_share);
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -8,13 +8,13 @@
 
 use lapismoor_core::admission::suspects::{CRASHES_ALLOWED, TRIAL_SURVIVAL_TIME};
 use lapismoor_core::admission::{
-    AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, PermitDesk, ReturnSchedule,
-    Shedding, StopPlan, Suspects, TargetRooms, Workspaces,
+    AnswerTimes, AnswerTiming, Evidence, LimitNotice, Overloads, PermitDesk, RelaySlots,
+    ReturnSchedule, Shedding, StopPlan, Suspects, TargetRooms, Workspaces,
 };
 use lapismoor_core::config::{Accepted, ConfigInForce};
 use lapismoor_core::ids::{Fingerprint, Incarnation, ServiceId, TargetId, TargetKey, VersionHash};
 use lapismoor_core::membership::{
-    CrashWatch, DaemonRecord, Directory, Freshness, Mirror, TargetIncarnation, TrafficShare,
+    CrashWatch, DaemonRecord, Directory, Freshness, Mirror, Reach, TargetIncarnation, TrafficShare,
     VersionHistory,
 };
 use lapismoor_core::once::Ledger;
@@ -81,6 +81,8 @@
     pub in_flight: RequestsInFlight,
     /// Calls the store.
     pub store: StoreClient,
+    /// Notified when the path to a target is lost.
+    pub path_lost: Notify,
     /// Notified when a target is watched for a crash.
     pub crash_watch_began: Notify,
     /// Notified when an attempt is interrupted, or a request that was interrupted is answered.
@@ -139,6 +141,10 @@
     pub returns: ReturnSchedule,
     /// Targets at which requests were given up.
     pub crash_watch: CrashWatch,
+    /// Which daemon reaches which target.
+    pub reach: Reach,
+    /// Connections that are forwarded for other daemons.
+    pub relay_slots: RelaySlots,
     /// Copy of the data in the store.
     pub mirror: Mirror,
     /// Announced daemons of the fleet. Invariant: sorted by id.
@@ -216,6 +222,8 @@
             answer_times: AnswerTimes::default(),
             returns: ReturnSchedule::default(),
             crash_watch: CrashWatch::default(),
+            reach: Reach::default(),
+            relay_slots: RelaySlots::default(),
             mirror: Mirror::default(),
             daemons: Vec::new(),
             has_loaded_targets: false,
@@ -246,6 +254,7 @@
             is_first_start: Cell::new(false),
             in_flight: RequestsInFlight::default(),
             store,
+            path_lost: Notify::new(),
             crash_watch_began: Notify::new(),
             attempt_interrupted: Notify::new(),
             evidence_acknowledged: Notify::new(),
@@ -456,6 +465,9 @@
             known.map(|known| known.entry.service.clone())
         };
         let max_idle = service.map_or(0, |service| self.idle_connection_limit(&service));
+        if connection.is_relayed() {
+            return;
+        }
         self.connections
             .release(self.now(), target, connection, None, max_idle);
     }
@@ -505,12 +517,12 @@
     }
 
     /// Records that a target was unreachable or silent, or answered for another one. Pauses the
-    /// target.
-    pub fn target_unreachable(&self, target: TargetKey, cause: &str) {
+    /// target. Returns whether it was not paused before.
+    pub fn target_unreachable(&self, target: TargetKey, cause: &str) -> bool {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let Some(known) = state.directory.get_mut(target) else {
-            return;
+            return false;
         };
         let was_closed = known.breaker.is_closed(now);
         let pause = known.breaker.record_unreachable(now);
@@ -522,6 +534,18 @@
                 "target_paused"
             );
         }
+        was_closed
+    }
+
+    /// Records that nothing was received from a target that has a request. Where another daemon
+    /// reaches it, its own path is to blame, and it gets further requests through that one.
+    pub(crate) fn target_silent(self: &Rc<Self>, target: TargetKey) {
+        if self.is_path_known_lost(target) {
+            return;
+        }
+        if self.target_unreachable(target, "silent") {
+            self.check_path(target);
+        }
     }
 
     /// Records that a target said in an answer that it leaves. It gets no new requests, also if the
@@ -659,13 +683,13 @@
         }
     }
 
-    /// Address of an incarnation of a target, if it is listed.
+    /// Key of an incarnation of a target, if it is listed.
     #[must_use]
-    pub fn address_if_listed(&self, target: &TargetIncarnation) -> Option<SocketAddr> {
+    pub fn key_if_listed(&self, target: &TargetIncarnation) -> Option<TargetKey> {
         let state = self.state.borrow();
         let is_listed = state.directory.is_listed(target);
         let known = state.directory.find(&target.id).filter(|_| is_listed)?;
-        Some(known.entry.address)
+        Some(known.key)
     }
 
     /// Incarnation of a target, if it is known.
--- a/crates/edge/src/crash_watch.rs
+++ b/crates/edge/src/crash_watch.rs
@@ -7,7 +7,6 @@
 use lapismoor_core::ids::TargetKey;
 
 use crate::context::Edge;
-use crate::http::Connection;
 
 /// Time in which a target that runs accepts a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -40,14 +39,11 @@
         edge.target_present(target, now, Some(since));
         return;
     }
-    let Some((_, address)) = edge.address_of(target) else {
-        return;
-    };
     edge.metrics.connections_opened.add(1, &[]);
-    match Connection::open_lasting(address, CONNECT_TIMEOUT).await {
-        Ok(connection) => {
+    match edge.connect_lastingly(target, CONNECT_TIMEOUT).await {
+        Ok(opened) => {
             edge.target_present(target, now, None);
-            edge.keep_connection(target, connection);
+            edge.keep_connection(target, opened.connection);
         }
         Err(error) if error.is_refused() => {
             edge.target_unreachable(target, error.name());
--- a/crates/edge/src/http/answer.rs
+++ b/crates/edge/src/http/answer.rs
@@ -10,10 +10,10 @@
 use bytes::{Bytes, BytesMut};
 use snafu::ResultExt;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
 
 use super::connection::Connection;
 use super::error::{BrokenSnafu, ExchangeError};
+use super::transport::Transport;
 
 /// Buffer size for one read of a body that ends when the connection closes, in bytes.
 const READ_BYTES: usize = 8 * 1024;
@@ -60,9 +60,9 @@
 
 enum Source {
     /// The body has a `Content-Length` or is chunked.
-    Framed(Box<Framed<TcpStream, BoundedCodec>>),
+    Framed(Box<Framed<Transport, BoundedCodec>>),
     /// The body ends when the connection closes. `buffered` was read together with the head.
-    UntilClose { io: TcpStream, buffered: Bytes },
+    UntilClose { io: Transport, buffered: Bytes },
     /// The body was read completely. The connection is there if it can be reused.
     Complete(Option<Connection>),
     /// Reading failed.
@@ -71,7 +71,7 @@
 
 impl AnswerBody {
     /// The body that follows `head` on the connection.
-    pub(super) fn new(head: &ResponseHead, framed: Box<Framed<TcpStream, ClientCodec>>) -> Self {
+    pub(super) fn new(head: &ResponseHead, framed: Box<Framed<Transport, ClientCodec>>) -> Self {
         let ends_with_connection = ends_with_connection(head);
         let source = if ends_with_connection {
             let parts = framed.into_parts();
@@ -169,7 +169,7 @@
     }
 }
 
-async fn read_chunk(io: &mut TcpStream) -> Result<Option<Bytes>, ExchangeError> {
+async fn read_chunk(io: &mut Transport) -> Result<Option<Bytes>, ExchangeError> {
     let mut buffer = BytesMut::with_capacity(READ_BYTES);
     let count = io.read_buf(&mut buffer).await.context(BrokenSnafu)?;
     Ok((count > 0).then(|| buffer.freeze()))
--- a/crates/edge/src/http/connection.rs
+++ b/crates/edge/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! An HTTP/1.1 connection to a target.
 
 use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
@@ -12,12 +13,14 @@
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead};
 use bytes::Bytes;
+use lapismoor_mirror::RelayedStream;
 use snafu::ResultExt;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 use super::answer::AnswerBody;
 use super::error::{ConnectSnafu, EncodeSnafu, ExchangeError};
+use super::transport::Transport;
 
 /// Time for which sent bytes may stay unacknowledged before the connection is closed, so that a
 /// network path that drops packets silently is detected.
@@ -35,7 +38,7 @@
 
 /// A connection on which no request is in flight.
 pub struct Connection {
-    framed: Box<Framed<TcpStream, ClientCodec>>,
+    framed: Box<Framed<Transport, ClientCodec>>,
 }
 
 impl Connection {
@@ -49,31 +52,38 @@
             return Err(ExchangeError::ConnectTimeout);
         };
         let stream = connected.context(ConnectSnafu)?;
-        configure_socket(&stream).context(ConnectSnafu)?;
-        Ok(Self {
-            framed: Box::new(Framed::new(stream, ClientCodec::default())),
-        })
+        Self::over(Transport::Direct(stream)).context(ConnectSnafu)
     }
 
-    /// Like [`Self::open`], for a connection that the other end does not close at once. A proxy accepts
-    /// connections also for a target that is gone, and closes them when it cannot reach it.
+    /// A connection that another daemon has opened and forwards.
     ///
     /// # Errors
-    /// As of [`Self::open`]; [`ExchangeError::CutOff`] if the connection was closed.
-    pub async fn open_lasting(
-        address: SocketAddr,
-        timeout: Duration,
-    ) -> Result<Self, ExchangeError> {
-        let mut connection = Self::open(address, timeout).await?;
+    /// The error of the operating system if the options of the socket cannot be set.
+    pub fn relayed(stream: RelayedStream) -> io::Result<Self> {
+        Self::over(Transport::Relayed(stream))
+    }
+
+    fn over(transport: Transport) -> io::Result<Self> {
+        configure_socket(transport.socket())?;
+        Ok(Self {
+            framed: Box::new(Framed::new(transport, ClientCodec::default())),
+        })
+    }
+
+    /// Whether another daemon forwards the connection.
+    #[must_use]
+    pub fn is_relayed(&self) -> bool {
+        matches!(self.framed.io_ref(), Transport::Relayed(_))
+    }
+
+    /// Waits until the other end would have closed the connection if it were a proxy that cannot reach
+    /// the target; a proxy accepts connections also for one that is gone. Returns whether it is open.
+    pub async fn lasts(&mut self) -> bool {
         tokio::time::sleep(PROXY_CLOSE_TIME).await;
-        if connection.is_reusable() {
-            Ok(connection)
-        } else {
-            Err(ExchangeError::CutOff)
-        }
+        self.is_reusable()
     }
 
-    pub(super) fn from_framed(framed: Box<Framed<TcpStream, ClientCodec>>) -> Self {
+    pub(super) fn from_framed(framed: Box<Framed<Transport, ClientCodec>>) -> Self {
         Self { framed }
     }
 
@@ -178,7 +188,11 @@
 
 impl std::fmt::Debug for Connection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Connection({:?})", self.framed.io_ref().peer_addr())
+        write!(
+            f,
+            "Connection({:?})",
+            self.framed.io_ref().socket().peer_addr()
+        )
     }
 }
 
@@ -193,7 +207,7 @@
 
 /// Disables Nagle's algorithm and enables TCP timeouts and keepalive, so that a dead network path
 /// is reported as an error.
-fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
--- a/crates/edge/src/http/connection_pool.rs
+++ b/crates/edge/src/http/connection_pool.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// Closes the idle connections to a target.
+    pub fn close_all(&self, target: TargetKey) {
+        let mut idle = self.idle.borrow_mut();
+        if let Ok(position) = idle.binary_search_by_key(&target, |(key, _)| *key) {
+            idle.remove(position);
+        }
+    }
+
     /// Closes connections whose idle timeout has passed.
     pub fn close_expired(&self, now: Moment) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/edge/src/http/error.rs
+++ b/crates/edge/src/http/error.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use lapismoor_mirror::RelayLost;
 use snafu::Snafu;
 
 /// Why an exchange with a target gave no complete answer.
@@ -56,10 +57,25 @@
         )
     }
 
-    /// Whether the target ended the exchange, and not the daemon.
+    /// Whether the target ended the exchange, and not the daemon or one on the way.
     #[must_use]
     pub fn is_connection_lost(&self) -> bool {
-        matches!(self, Self::Broken { .. } | Self::CutOff)
+        matches!(self, Self::Broken { .. } | Self::CutOff) && !self.is_relay_lost()
+    }
+
+    /// Whether the daemon that forwarded the connection was lost.
+    #[must_use]
+    pub fn is_relay_lost(&self) -> bool {
+        let Self::Broken { source } = self else {
+            return false;
+        };
+        matches!(source.get_ref(), Some(cause) if cause.is::<RelayLost>())
+    }
+
+    /// Whether the connection did not open in time.
+    #[must_use]
+    pub fn is_connect_timeout(&self) -> bool {
+        matches!(self, Self::ConnectTimeout)
     }
 
     /// Whether the connection was refused: nothing listens on the target's port.
@@ -75,6 +91,7 @@
             Self::Connect { .. } => "connect_failed",
             Self::ConnectTimeout => "connect_timeout",
             Self::Encode { .. } => "not_encoded",
+            Self::Broken { .. } if self.is_relay_lost() => "relay_lost",
             Self::Broken { .. } => "connection_broken",
             Self::CutOff => "answer_cut_off",
             Self::DeadlinePassed => "time_up",
--- a/crates/edge/src/http/mod.rs
+++ b/crates/edge/src/http/mod.rs
@@ -6,8 +6,10 @@
 mod connection;
 mod connection_pool;
 mod error;
+mod transport;
 
 pub use answer::{AnswerBody, AnswerHead};
 pub use connection::Connection;
+pub(crate) use connection::configure_socket;
 pub use connection_pool::ConnectionPool;
 pub use error::ExchangeError;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod metrics;
 mod millis;
+mod paths;
 mod peers;
 mod permits;
 mod profiles;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -5,7 +5,7 @@
 use lapismoor_core::ids::{ServiceId, TargetId};
 use lapismoor_core::routing::PacePercent;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -35,6 +35,8 @@
     target_pace: Gauge<u64>,
     /// Connections opened to targets since the start.
     pub connections_opened: Counter<u64>,
+    /// Metrics of the paths to targets.
+    pub paths: PathMetrics,
     store_calls: Counter<u64>,
     /// Times that the store was found to be restored from a copy.
     pub store_restores: Counter<u64>,
@@ -43,6 +45,48 @@
     pub evacuated_domains: Gauge<u64>,
 }
 
+/// Metrics of the paths to targets.
+pub struct PathMetrics {
+    lost: Gauge<u64>,
+    asked: Counter<u64>,
+    served: Counter<u64>,
+}
+
+impl PathMetrics {
+    fn new(meter: &Meter) -> Self {
+        let counter = |name, description| {
+            let builder = meter.u64_counter(name);
+            builder.with_description(description).build()
+        };
+        Self {
+            lost: meter
+                .u64_gauge("lapismoor.path.lost")
+                .with_description("Targets that this daemon reaches through other daemons only")
+                .build(),
+            asked: counter(
+                "lapismoor.relay.asked",
+                "Connections to targets for which another daemon was asked, by result",
+            ),
+            served: counter(
+                "lapismoor.relay.served",
+                "Connections to targets for which other daemons asked, by result",
+            ),
+        }
+    }
+
+    pub(crate) fn record_lost(&self, paths: usize) {
+        self.lost.record(paths as u64, &[]);
+    }
+
+    pub(crate) fn count_asked(&self, result: &'static str) {
+        self.asked.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn count_served(&self, result: &'static str) {
+        self.served.add(1, &[KeyValue::new("result", result)]);
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -115,6 +159,7 @@
                 .u64_gauge("lapismoor.target.cold")
                 .with_description("Targets that take fewer requests because they are cold")
                 .build(),
+            paths: PathMetrics::new(&meter),
             target_pace: meter
                 .u64_gauge("lapismoor.target.pace")
                 .with_description("Time that work took at a target when it was last chosen, in percent of the usual")
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -6,13 +6,14 @@
 use actix_http::{RequestHead, ResponseHead, StatusCode, header};
 use bytes::{Bytes, BytesMut};
 use lapismoor_core::admission::{AnswerTiming, Belief};
-use lapismoor_core::ids::{TargetId, TargetKey};
+use lapismoor_core::ids::{DaemonId, TargetId, TargetKey};
 use lapismoor_core::retry::{AnswerKind, AttemptEnd, classify_answer};
 use lapismoor_core::routing::Choice;
 use lapismoor_core::routing::pace::rejection_pace;
 use opentelemetry::trace::SpanKind;
 
 use super::job::{InFlight, Job};
+use super::request_hash;
 use super::run::EVACUATED;
 use crate::context::Edge;
 use crate::dialect::{AnswerMetadata, AttemptHeaders};
@@ -130,6 +131,8 @@
     connection: Connection,
     /// Whether the connection was idle before.
     is_reused: bool,
+    /// The daemon that forwards the connection; `None` if it is direct.
+    through: Option<DaemonId>,
     in_flight: InFlight,
     span: Option<ActiveSpan>,
     guard: TargetGuard,
@@ -141,7 +144,7 @@
     choice: Choice,
 ) -> Result<PreparedAttempt<'_>, FailedAttempt> {
     let edge = &job.edge;
-    let Some((target_id, address)) = edge.address_of(choice.target) else {
+    let Some((target_id, _)) = edge.address_of(choice.target) else {
         return Err(FailedAttempt::new(AttemptEnd::NotSent, "target_forgotten"));
     };
     let guard = TargetGuard::new(edge, choice.target);
@@ -152,13 +155,9 @@
     if let Some(percent) = edge.pace_percent(choice.target) {
         edge.metrics.record_pace(&target_id, percent);
     }
-    let in_flight = InFlight {
-        target: choice.target,
-        incarnation: edge.incarnation_of(choice.target),
-        sent_at: edge.now(),
-        has_answer: false,
-    };
-    let (connection, is_reused) = match connect(job, choice.target, address).await {
+    let incarnation = edge.incarnation_of(choice.target);
+    let sent_at = edge.now();
+    let connected = match connect(job, choice.target).await {
         Ok(connected) => connected,
         Err(error) => {
             edge.target_unreachable(choice.target, error.name());
@@ -177,11 +176,18 @@
     }
     Ok(PreparedAttempt {
         job,
-        choice,
         target_id,
-        connection,
-        is_reused,
-        in_flight,
+        connection: connected.connection,
+        is_reused: connected.is_reused,
+        in_flight: InFlight {
+            target: choice.target,
+            incarnation,
+            sent_at,
+            is_relayed: connected.through.is_some(),
+            has_answer: false,
+        },
+        through: connected.through,
+        choice,
         span,
         guard,
     })
@@ -196,7 +202,8 @@
         let target = self.choice.target;
         let sent_at = self.in_flight.sent_at;
         let span = self.span.as_ref();
-        log_sent(job, &self.choice, &self.target_id, last_event);
+        let through = self.through.as_ref();
+        log_sent(job, &self.choice, &self.target_id, through, last_event);
         let head = request_head(job, &self.choice, &self.target_id, last_event, span);
         let answers_request = |head: &ResponseHead| {
             let id = (edge.dialect.read_answer)(head.headers()).request_id;
@@ -359,7 +366,9 @@
     /// run twice never reuse a connection, so at most one is kept idle after them.
     pub(crate) fn release_connection(self, job: &Job) {
         let edge = &job.edge;
-        let Some(connection) = self.body.into_connection() else {
+        let connection = self.body.into_connection();
+        // The direct way may be back by the next request.
+        let Some(connection) = connection.filter(|one| !one.is_relayed()) else {
             return;
         };
         let max_idle = if job.request.route.is_repeatable() {
@@ -404,28 +413,40 @@
     copy
 }
 
+/// A connection on which a request is to be sent.
+struct Connected {
+    connection: Connection,
+    /// Whether it was idle before.
+    is_reused: bool,
+    /// The daemon that forwards it; `None` if it is direct.
+    through: Option<DaemonId>,
+}
+
 /// Takes an idle connection from the pool or opens a new one, and returns whether it was idle. The
 /// target may close an idle connection just as the request is sent, and then it is unknown whether
 /// the request ran. A request that must not run twice therefore always gets a new connection, and
 /// so does one that is sent to the same target again, or offered to another target.
-async fn connect(
-    job: &Job,
-    target: TargetKey,
-    address: std::net::SocketAddr,
-) -> Result<(Connection, bool), ExchangeError> {
+async fn connect(job: &Job, target: TargetKey) -> Result<Connected, ExchangeError> {
     let edge = &job.edge;
     let is_offer = !job.in_flight.borrow().is_empty();
     let is_repeat = job.tried.borrow().contains(&target);
     let may_reuse = job.request.route.is_repeatable() && !is_offer && !is_repeat;
     if may_reuse && let Some(connection) = edge.connections.acquire(edge.now(), target) {
-        return Ok((connection, true));
+        return Ok(Connected {
+            connection,
+            is_reused: true,
+            through: None,
+        });
     }
     edge.metrics.connections_opened.add(1, &[]);
     let timeout = edge.settings.tuning.connect_timeout.min(job.time_left());
-    let opened_at = edge.now();
-    let connection = Connection::open(address, timeout).await?;
-    edge.target_connected_in(target, edge.now().saturating_sub(opened_at));
-    Ok((connection, false))
+    let hash = request_hash(&job.request.envelope.id);
+    let opened = edge.connect_to(target, timeout, hash).await?;
+    Ok(Connected {
+        connection: opened.connection,
+        is_reused: false,
+        through: opened.through,
+    })
 }
 
 fn failed_attempt(edge: &Edge, target: TargetKey, error: &ExchangeError) -> FailedAttempt {
@@ -495,13 +516,20 @@
 
 /// Logs that the request is sent. First attempts are sampled by the request id, so that all daemons
 /// log the same requests.
-fn log_sent(job: &Job, choice: &Choice, target_id: &TargetId, last_event: Option<u64>) {
-    if !job.should_log() {
+fn log_sent(
+    job: &Job,
+    choice: &Choice,
+    target_id: &TargetId,
+    through: Option<&DaemonId>,
+    last_event: Option<u64>,
+) {
+    if !job.should_log() && through.is_none() {
         return;
     }
     log::info!(
         request:% = job.request.envelope.id,
         target:% = target_id,
+        through = through.map(ToString::to_string),
         service:% = job.request.service,
         version = job.edge.version_label(choice.target),
         config_version = job.request.config_version,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -47,6 +47,8 @@
     /// Incarnation of the target; `None` if it was forgotten.
     pub incarnation: Option<TargetIncarnation>,
     pub sent_at: Moment,
+    /// Whether another daemon forwards the connection.
+    pub is_relayed: bool,
     /// Whether part of the answer has arrived.
     pub has_answer: bool,
 }
--- a/crates/edge/src/serve/suspicion.rs
+++ b/crates/edge/src/serve/suspicion.rs
@@ -11,7 +11,6 @@
 
 use super::job::{InFlight, Job, Subject};
 use super::report;
-use crate::http::Connection;
 use crate::store::{ClaimResult, share_now, trials};
 
 /// Crashes from which on a request is sent to the least loaded target instead of its homes, and only
@@ -66,8 +65,8 @@
         presumed.dedup();
         let checks = presumed.iter().map(|target| async move {
             let asked_at = edge.now();
-            let address = edge.address_if_listed(target)?;
-            let connected = Connection::open_lasting(address, VERIFICATION_TIMEOUT).await;
+            let key = edge.key_if_listed(target)?;
+            let connected = edge.connect_lastingly(key, VERIFICATION_TIMEOUT).await;
             connected.ok().map(|_| (target, asked_at))
         });
         let answers = futures::future::join_all(checks).await;
@@ -186,6 +185,13 @@
         let Some(incarnation) = attempt.incarnation.clone() else {
             return;
         };
+        // The end of a connection shows nothing of the target if the path to it was lost.
+        let is_path_lost = !attempt.is_relayed && self.edge.is_path_known_lost(target);
+        let belief = if is_path_lost {
+            Belief::Unknown
+        } else {
+            belief
+        };
         {
             let mut state = self.edge.state.borrow_mut();
             if state.directory.is_exit_planned(now, target) {
--- a/crates/edge/src/serve/takeover.rs
+++ b/crates/edge/src/serve/takeover.rs
@@ -167,7 +167,7 @@
     is_first: bool,
 ) -> Option<Choice> {
     if is_first && overdue == Overdue::Silent {
-        job.edge.target_unreachable(current.target, "silent");
+        job.edge.target_silent(current.target);
     }
     let found = job.choose_replacement(since);
     if is_first {
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -20,6 +20,7 @@
 use crate::dialect::Dialect;
 use crate::in_flight;
 use crate::listeners::Listeners;
+use crate::paths::probe_paths;
 use crate::profiles;
 use crate::serve;
 use crate::serve::dry_run::{DryRun, DryRunQuery};
@@ -115,6 +116,7 @@
     rt::spawn(announce(Rc::clone(&edge), store, record));
     rt::spawn(share_suspects(Rc::clone(&edge)));
     rt::spawn(watch_targets(Rc::clone(&edge)));
+    rt::spawn(probe_paths(Rc::clone(&edge)));
     rt::spawn(exchange_observations(Rc::clone(&edge)));
     rt::spawn(exchange_between_collectors(Rc::clone(&edge)));
     rt::spawn(share_streams(Rc::clone(&edge)));
@@ -243,7 +245,12 @@
                 .settle(now, confirmed_at, stable_since, |target| {
                     directory.is_listed(target)
                 });
-            (state.directory.sweep(now), refuted)
+            let expired = state.directory.sweep(now);
+            let directory = &state.directory;
+            state
+                .reach
+                .sweep(now, |target| directory.get(target).is_some());
+            (expired, refuted)
         };
         edge.report_warmth();
         sweep_evacuations(&edge, now);
@@ -279,7 +286,8 @@
     let plan = edge.stop_plan();
     let stop_began = edge.stopping_since.get().unwrap_or_else(|| edge.now());
     log::info!(in_flight = edge.in_flight.count() as u64; "stopping");
-    while plan.phase(edge.now(), stop_began, edge.in_flight.count()) != StopPhase::Exiting {
+    let in_flight = || edge.in_flight.count() + edge.state.borrow().relay_slots.in_use();
+    while plan.phase(edge.now(), stop_began, in_flight()) != StopPhase::Exiting {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
     stop_accepting.cancel();
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -16,6 +16,7 @@
 use super::suspects::hand_over;
 use super::update::StoreUpdate;
 use crate::context::Edge;
+use crate::paths::relay;
 
 /// Returns the handlers for list and watch requests of other daemons.
 pub(crate) fn mirror_source(edge: &Rc<Edge>) -> MirrorSource {
@@ -27,6 +28,7 @@
     let for_limits = Rc::clone(edge);
     let for_streams = Rc::clone(edge);
     let for_lookups = Rc::clone(edge);
+    let for_relays = Rc::clone(edge);
     MirrorSource {
         list: Rc::new(move || {
             let edge = Rc::clone(&for_list);
@@ -51,6 +53,7 @@
             for_streams.keep_origins(&streams, source);
         }),
         find_stream: Rc::new(move |stream, service| for_lookups.look_up_stream(stream, service)),
+        relay: Rc::new(move |call| relay(Rc::clone(&for_relays), call)),
     }
 }
 
--- a/crates/mirror/src/counted.rs
+++ b/crates/mirror/src/counted.rs
@@ -19,7 +19,7 @@
         self.0.get()
     }
 
-    fn add(&self, bytes: usize) {
+    pub(crate) fn add(&self, bytes: usize) {
         self.0.set(self.0.get() + bytes as u64);
     }
 }
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -1,11 +1,13 @@
 //! Client and server of the protocol between daemons: they read the key-value store through each
-//! other, exchange what they observe of targets and requests, and ask each other for permits.
+//! other, exchange what they observe of targets and requests, ask each other for permits, and forward
+//! connections to targets.
 
 mod client;
 mod counted;
 mod items;
 mod limits;
 mod observations;
+mod relay;
 mod server;
 mod streams;
 
@@ -26,6 +28,9 @@
 
 pub use client::{MirrorClient, MirrorError};
 pub use counted::ByteCounter;
+pub use relay::{
+    RelayAnswer, RelayCall, RelayError, RelayLost, RelayRequest, RelayedStream, open_relayed,
+};
 pub use server::{MirrorSource, serve};
 
 /// Part of the store, as a daemon holds it.
--- a/crates/mirror/src/server.rs
+++ b/crates/mirror/src/server.rs
@@ -5,12 +5,14 @@
 
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
 use futures::future::LocalBoxFuture;
+use futures::io::Cursor;
 use lapismoor_core::admission::target_limits::{PermitAnswer, PermitRequest, TargetLimit};
 use lapismoor_core::ids::{StoreRevision, StreamKey};
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::membership::versions::ServiceHash;
 use lapismoor_core::routing::{FleetSample, Observations};
 use lapismoor_core::stream::{StreamLookup, StreamOrigin};
+use tokio::io::AsyncReadExt as _;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::compat::TokioAsyncReadCompatExt;
 
@@ -20,6 +22,7 @@
 use crate::limits::{self, read_limits, read_request};
 use crate::mirror_capnp::{answer, store_mirror};
 use crate::observations::{read_observations, write_sample};
+use crate::relay::{RELAY_MARK, RelayCall};
 use crate::streams::read_streams;
 
 /// Delay after a failed accept, so that file descriptors can become free.
@@ -47,6 +50,8 @@
     pub tell_streams: Rc<dyn Fn(Vec<StreamOrigin>, bool)>,
     /// Finds the software version that began a stream of a service.
     pub find_stream: Rc<dyn Fn(StreamKey, ServiceHash) -> StreamLookup>,
+    /// Opens a connection to a target for another daemon and forwards it up to its end.
+    pub relay: Rc<dyn Fn(RelayCall) -> LocalBoxFuture<'static, ()>>,
 }
 
 /// Accepts connections from other daemons forever and adds the bytes exchanged to `counter`. Must
@@ -73,9 +78,22 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, source: MirrorSource, counter: ByteCounter) {
+/// Serves calls, or forwards a connection: the first bytes tell which of them is asked for.
+async fn serve_connection(mut stream: TcpStream, source: MirrorSource, counter: ByteCounter) {
+    let mut first_bytes = [0; RELAY_MARK.len()];
+    // A connection that ends before its first message is that of a daemon that left.
+    if stream.read_exact(&mut first_bytes).await.is_err() {
+        return;
+    }
+    if first_bytes == RELAY_MARK {
+        if let Some(call) = RelayCall::read(stream, counter).await {
+            (source.relay)(call).await;
+        }
+        return;
+    }
     let counted_stream = CountedStream::new(stream.compat(), counter);
     let (reader, writer) = futures::AsyncReadExt::split(counted_stream);
+    let reader = futures::AsyncReadExt::chain(Cursor::new(first_bytes), reader);
     let network = twoparty::VatNetwork::new(
         reader,
         writer,
--- a/crates/mirror/tests/protocol.rs
+++ b/crates/mirror/tests/protocol.rs
@@ -14,7 +14,9 @@
 use lapismoor_core::membership::StoreItem;
 use lapismoor_core::routing::{FleetSample, Observations, PartRequests, PartShare, TargetLoad};
 use lapismoor_core::stream::{StreamLookup, StreamOrigin};
-use lapismoor_mirror::{ByteCounter, MirrorAnswer, MirrorClient, MirrorError, MirrorSource, serve};
+use lapismoor_mirror::{
+    ByteCounter, MirrorAnswer, MirrorClient, MirrorError, MirrorSource, RelayAnswer, serve,
+};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
@@ -65,6 +67,7 @@
                 are_several: stream == 7,
             }
         }),
+        relay: Rc::new(|call| call.refuse(RelayAnswer::Busy).boxed_local()),
     }
 }
 
