Call the store anew after a silent connection, before daemons with old copies

What callers saw: changes were in force late (CONFIG). With all connections to the store silent and new ones working, 4 and 7 daemons in three failure domains learned of a change after 3.6 s (allowed: 3 s after the disturbance).

Cause: a watch without an answer put the store aside for a second, and the daemon went from one other daemon to the next. Their connections had fallen silent at the same moment; each held the call for 400 ms and only then turned out to be too old.

Change: the store is called once more, without a wait, after a call that was not answered (a store that rejects calls is put aside at once, as before). A daemon whose own copy is older than it gets without a fault answers at once.

--- a/crates/core/src/membership/sources.rs
+++ b/crates/core/src/membership/sources.rs
@@ -77,6 +77,8 @@
     domain: FailureDomain,
     /// Failed sources, and until when they are not used.
     backed_off: Vec<(Source, Moment)>,
+    /// Whether the last call to the store was not answered.
+    has_lost_store: bool,
 }
 
 impl Sources {
@@ -87,6 +89,7 @@
             own,
             domain,
             backed_off: Vec::new(),
+            has_lost_store: false,
         }
     }
 
@@ -100,6 +103,23 @@
         chosen.unwrap_or(Source::Store)
     }
 
+    /// Records that a source answered.
+    pub fn record_answer(&mut self, source: &Source) {
+        if *source == Source::Store {
+            self.has_lost_store = false;
+        }
+    }
+
+    /// Records that a source did not answer in time. The store is called once more: only the
+    /// connection may have fallen silent, and those of other daemons at the same moment.
+    pub fn record_silence(&mut self, now: Moment, source: Source) {
+        let was_lost = self.has_lost_store;
+        self.has_lost_store |= source == Source::Store;
+        if was_lost || !self.has_lost_store {
+            self.record_failure(now, source);
+        }
+    }
+
     /// Records that a source failed or that its data was too old.
     pub fn record_failure(&mut self, now: Moment, source: Source) {
         self.backed_off.push((source, now + FAILURE_BACKOFF));
--- a/crates/edge/src/store/client.rs
+++ b/crates/edge/src/store/client.rs
@@ -31,6 +31,9 @@
     /// The lease has expired.
     #[snafu(display("the lease has expired; requesting a new one"))]
     LeaseEnded,
+    /// The source did not answer within the timeout.
+    #[snafu(display("the source did not answer within the timeout; check it and the network"))]
+    Unanswered,
     /// The store did not answer or refused the call.
     #[snafu(display("the store is unavailable: {reason}; check the store and the network"))]
     Unavailable {
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -129,7 +129,7 @@
 }
 
 /// Greatest age that the copy of the store reaches while no call fails.
-fn max_healthy_age(edge: &Edge) -> Duration {
+pub(super) fn max_healthy_age(edge: &Edge) -> Duration {
     let tuning = &edge.settings.tuning;
     tuning.store_wait + tuning.store_timeout
 }
@@ -216,6 +216,7 @@
         }
         self.is_failing = false;
         self.retry_delay = Duration::ZERO;
+        self.sources.record_answer(&self.source);
         self.last_answered_by = self.source.clone();
         let is_list = self.revision.is_none();
         let cause = self.cause_of_updates(edge, answer.revision);
@@ -351,7 +352,12 @@
             tokio::time::sleep(MIN_RETRY_DELAY).await;
             return;
         }
-        self.sources.record_failure(now, self.source.clone());
+        let source = self.source.clone();
+        if *error == StoreError::Unanswered {
+            self.sources.record_silence(now, source);
+        } else {
+            self.sources.record_failure(now, source);
+        }
         let next = self.sources.choose(now, &edge.state.borrow().daemons);
         if next == self.source {
             self.retry_delay = (self.retry_delay * 2).clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
--- a/crates/edge/src/store/mirror_source.rs
+++ b/crates/edge/src/store/mirror_source.rs
@@ -12,6 +12,7 @@
 use lapismoor_core::stream::origins::is_streams_record_key;
 use lapismoor_mirror::{MirrorAnswer, MirrorSource};
 
+use super::follow::max_healthy_age;
 use super::observations::take_exchange;
 use super::suspects::hand_over;
 use super::update::StoreUpdate;
@@ -80,6 +81,10 @@
 
 async fn watch(edge: &Edge, after: StoreRevision, wait: Duration) -> Option<MirrorAnswer> {
     let received_at = edge.now();
+    if has_lost_store(edge) {
+        // The other daemon has to find another source.
+        return changes_since(edge, after, received_at)?;
+    }
     let waiting = async {
         loop {
             let notified = edge.store_changed.notified();
@@ -99,6 +104,14 @@
     changes_since(edge, after, received_at)?
 }
 
+/// Whether the copy is older than it gets while no call fails.
+fn has_lost_store(edge: &Edge) -> bool {
+    let now = edge.now();
+    let tuning = &edge.settings.tuning;
+    let max_age = max_healthy_age(edge).max(tuning.max_mirror_age);
+    edge.state.borrow().freshness.is_older_than(now, max_age)
+}
+
 /// The changes after a revision. The outer option is `None` if the mirror no longer has all of
 /// them; the inner one is `None` while the mirror has no revision or no known age.
 #[expect(clippy::option_option)]
--- a/crates/edge/src/store/source_client.rs
+++ b/crates/edge/src/store/source_client.rs
@@ -59,8 +59,7 @@
             }
         };
         let result = tokio::time::timeout(limit, fetching).await;
-        let result = result
-            .unwrap_or_else(|_| Err(unavailable(&"the source did not answer within the timeout")));
+        let result = result.unwrap_or(Err(StoreError::Unanswered));
         let source_kind = match source {
             Source::Store => "store",
             Source::Daemon(_) => "daemon",
