Let a stream of unknown origin go on only where its version is certain

Here a daemon that is cut off together with another one took that one's answer for knowledge of the fleet: neither knew the new version, and the stream went on at the only one they knew. Shown by core/tests/stream_versions (case 'cut off together with one of three'), which failed before.

Now all daemons that hold such streams have to answer, or one of them while the copy of the store is current.

--- a/crates/core/src/stream/resumption.rs
+++ b/crates/core/src/stream/resumption.rs
@@ -34,14 +34,17 @@
 impl ResumedStream {
     /// The version that began the stream, as far as it can be told. One whose origin is unknown
     /// must have begun at the only possible version. A daemon that was cut off may not have learned
-    /// of another one yet, so that its list alone does not tell as long as there are others.
+    /// of another one yet, so that its list alone does not tell as long as there are others. Those that
+    /// answer may have been cut off together with it: the one that knows may be among the others.
     #[must_use]
     pub fn version(&self) -> Option<VersionHash> {
         match (self.origin, self.possible) {
             (Some(version), _) => Some(version),
             (None, PossibleVersions::One(version)) => {
-                let is_alone = self.asked == 0 && self.is_list_current;
-                let is_informed = is_alone || self.answered > 0;
+                let is_alone = self.asked == 0;
+                let have_all_answered = !is_alone && self.answered == self.asked;
+                let is_current = self.is_list_current && (is_alone || self.answered > 0);
+                let is_informed = have_all_answered || is_current;
                 (is_informed && !self.others_know_several).then_some(version)
             }
             (None, _) => None,
--- a/crates/core/tests/stream_versions.rs
+++ b/crates/core/tests/stream_versions.rs
@@ -4,11 +4,13 @@
 
 use lapismoor_core::admission::Priority;
 use lapismoor_core::ids::{TargetKey, VersionHash, version_hash};
-use lapismoor_core::membership::{Directory, DirectoryChange, TargetEntry, TargetState};
+use lapismoor_core::membership::{
+    Directory, DirectoryChange, PossibleVersions, TargetEntry, TargetState,
+};
 use lapismoor_core::routing::{
     AffinityPreference, Choice, Chooser, Homes, LoadBound, NoTarget, PromptPart, TargetQuery,
 };
-use lapismoor_core::stream::VersionBinding;
+use lapismoor_core::stream::{ResumedStream, VersionBinding};
 use test_case::test_case;
 
 const NOW: Duration = Duration::from_secs(100);
@@ -122,3 +124,35 @@
     assert_eq!(change, DirectoryChange::Restarted);
     assert!(directory.get(before).is_none());
 }
+
+fn resumed(asked: usize, answered: usize, is_list_current: bool) -> ResumedStream {
+    ResumedStream {
+        origin: None,
+        possible: PossibleVersions::One(version_hash("v1")),
+        has_events: true,
+        asked,
+        answered,
+        others_know_several: false,
+        is_list_current,
+    }
+}
+
+/// Guards against streams that go on at another version at daemons that were cut off together while
+/// targets of a new version joined: they answer each other, and none of them knows that version.
+#[test_case(3, 1, false, false; "cut off together with one of three")]
+#[test_case(3, 0, false, false; "cut off from all")]
+#[test_case(3, 0, true, false; "nobody answers")]
+#[test_case(0, 0, false, false; "alone, with an old list")]
+#[test_case(3, 3, false, true; "all answer while the store is away")]
+#[test_case(3, 1, true, true; "one of three answers, with a current list")]
+#[test_case(0, 0, true, true; "alone, with a current list")]
+fn stream_of_unknown_origin_goes_on_only_where_its_version_is_certain(
+    asked: usize,
+    answered: usize,
+    is_list_current: bool,
+    goes_on: bool,
+) {
+    let resumed = resumed(asked, answered, is_list_current);
+    assert_eq!(resumed.version().is_some(), goes_on);
+    assert_eq!(resumed.bind(|_| true).is_ok(), goes_on);
+}
