--- a/crates/core/src/membership/reach.rs
+++ b/crates/core/src/membership/reach.rs
@@ -13,6 +13,7 @@
 use crate::clock::Moment;
 use crate::ids::{DaemonId, FailureDomain, TargetKey};
 use crate::membership::DaemonRecord;
+use crate::routing::home_regions::{Homes, Regions};
 use crate::routing::rendezvous::rendezvous_order;
 
 /// Time between two probes of a lost path.
@@ -221,7 +222,7 @@
 
     /// The daemons to ask for a connection to a target, best first: those that have no known obstacle,
     /// of failure domains in which others have none, in the target's domain, in the own one, in
-    /// others. The hash of the request spreads requests over equal ones.
+    /// others. Those that may not have the body of the request are left out. The hash of the request spreads requests over equal ones.
     #[must_use]
     pub fn helpers<'a>(
         &self,
@@ -236,7 +237,9 @@
             let daemon = &daemons[position];
             let known = self.helper(&daemon.id);
             let is_excluded = known.is_some_and(|known| known.is_excluded(now, query.target));
-            if daemon.id == *query.own || is_excluded {
+            let homes = &query.homes;
+            let may_have_body = homes.allow_body(query.regions, query.own_domain, &daemon.domain);
+            if daemon.id == *query.own || is_excluded || !may_have_body {
                 continue;
             }
             let distance = if daemon.domain == *query.target_domain {
@@ -405,4 +408,8 @@
     pub own_domain: &'a FailureDomain,
     /// Hash of the request.
     pub request: u64,
+    /// Home regions of the request.
+    pub homes: Homes<'a>,
+    /// Regions of the failure domains.
+    pub regions: &'a Regions,
 }
--- a/crates/core/tests/cut_off_daemons.rs
+++ b/crates/core/tests/cut_off_daemons.rs
@@ -7,6 +7,7 @@
 use lapismoor_core::admission::RelaySlots;
 use lapismoor_core::ids::{DaemonId, FailureDomain, TargetKey};
 use lapismoor_core::membership::{DaemonRecord, HelperQuery, Reach};
+use lapismoor_core::routing::{Homes, Regions};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use test_case::test_case;
@@ -119,12 +120,15 @@
     fn connect_through(&mut self, daemon: usize, target: usize) -> Option<Way> {
         let (key, domain) = self.targets[target].clone();
         let own = self.daemons[daemon].clone();
+        let regions = Regions::default();
         let query = HelperQuery {
             target: key,
             target_domain: &domain,
             own: &own.id,
             own_domain: &own.domain,
             request: self.rng.random(),
+            homes: Homes::default(),
+            regions: &regions,
         };
         let is_first = self.reach[daemon].lost_paths() == 0;
         let mut patience = if is_first { PATIENCE.0 } else { PATIENCE.1 };
@@ -419,3 +423,31 @@
     }
     assert_eq!(slots.in_use(), 39);
 }
+
+/// Guards against bodies that leave the home regions of their request on the way through another
+/// daemon.
+#[test]
+fn body_is_sent_through_daemons_of_its_home_regions_only() {
+    let fleet = Fleet::new(6, 9, 3);
+    let regions = ["north", "north", "south"].into_iter().enumerate();
+    let regions =
+        regions.map(|(number, region)| (format!("domain-{number}").into(), region.into()));
+    let regions = Regions::new(regions.collect());
+    let home = ["north".into()];
+    let (target, target_domain) = &fleet.targets[1];
+    let query = HelperQuery {
+        target: *target,
+        target_domain,
+        own: &fleet.daemons[0].id,
+        own_domain: &fleet.daemons[0].domain,
+        request: 1,
+        homes: Homes {
+            route: &home,
+            workspace: &[],
+        },
+        regions: &regions,
+    };
+    let helpers = fleet.reach[0].helpers(fleet.now, &query, &fleet.daemons);
+    assert_eq!(helpers.len(), 3);
+    assert!(helpers.iter().all(|helper| helper.domain != "domain-2"));
+}
--- a/crates/edge/src/paths.rs
+++ b/crates/edge/src/paths.rs
@@ -9,6 +9,7 @@
 use futures::future::LocalBoxFuture;
 use lapismoor_core::ids::{DaemonId, TargetKey};
 use lapismoor_core::membership::{DaemonRecord, HelperQuery, PathChange, Standing};
+use lapismoor_core::routing::Homes;
 use lapismoor_mirror::{RelayAnswer, RelayCall, RelayError, RelayRequest, open_relayed};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -32,6 +33,25 @@
 /// Daemons that are asked for one connection, those included that decline at once.
 const MAX_ASKED: usize = 8;
 
+/// What a connection is for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Purpose<'a> {
+    /// Hash by which requests are spread over the other daemons.
+    pub request: u64,
+    /// Home regions of the request.
+    pub homes: Homes<'a>,
+}
+
+impl Purpose<'_> {
+    /// A check of the target, without a request.
+    fn check() -> Self {
+        Self {
+            request: rand::random(),
+            homes: Homes::default(),
+        }
+    }
+}
+
 /// A new connection to a target.
 pub(crate) struct Opened {
     pub connection: Connection,
@@ -52,7 +72,6 @@
 
 impl Edge {
     /// Opens a connection to a target within `limit`, or somewhat later through another daemon.
-    /// `request` is the hash by which requests are spread over the other daemons.
     ///
     /// # Errors
     /// [`ExchangeError`] for which [`ExchangeError::is_not_sent`] holds. It is a refusal only if no
@@ -61,13 +80,13 @@
         &self,
         target: TargetKey,
         limit: Duration,
-        request: u64,
+        purpose: Purpose<'_>,
     ) -> Result<Opened, ExchangeError> {
         let Some((_, address)) = self.address_of(target) else {
             return Err(ExchangeError::ConnectTimeout);
         };
         if self.is_path_lost(target) {
-            let relayed = self.open_relayed(target, request).await;
+            let relayed = self.open_relayed(target, purpose).await;
             return relayed.map_err(|_| ExchangeError::ConnectTimeout);
         }
         let direct = Connection::open(address, limit);
@@ -75,7 +94,7 @@
         let opened_at = self.now();
         let relaying = async {
             sleep(HEDGE_DELAY).await;
-            self.open_relayed(target, request).await
+            self.open_relayed(target, purpose).await
         };
         tokio::pin!(relaying);
         let direct_error = tokio::select! {
@@ -101,7 +120,7 @@
         let relayed = if direct_error.is_connect_timeout() {
             relaying.await
         } else {
-            self.open_relayed(target, request).await
+            self.open_relayed(target, purpose).await
         };
         match relayed {
             Ok(opened) => {
@@ -121,7 +140,7 @@
         target: TargetKey,
         limit: Duration,
     ) -> Result<Opened, ExchangeError> {
-        let mut opened = self.connect_to(target, limit, rand::random()).await?;
+        let mut opened = self.connect_to(target, limit, Purpose::check()).await?;
         if opened.connection.lasts().await {
             Ok(opened)
         } else {
@@ -222,12 +241,16 @@
     }
 
     /// Asks other daemons for a connection to a target, one after the other.
-    async fn open_relayed(&self, target: TargetKey, request: u64) -> Result<Opened, Finding> {
+    async fn open_relayed(
+        &self,
+        target: TargetKey,
+        purpose: Purpose<'_>,
+    ) -> Result<Opened, Finding> {
         let mut patience = self.patience();
         let mut finding = Finding::Untried;
         for _ in 0..MAX_ASKED {
             // Each answer tells something of the others: a whole failure domain may be cut off.
-            let helper = self.best_helper(target, request);
+            let helper = self.best_helper(target, purpose);
             let Some((helper, (id, _))) = helper.zip(self.address_of(target)) else {
                 break;
             };
@@ -299,7 +322,7 @@
     }
 
     /// The daemon to ask next for a connection to a target.
-    fn best_helper(&self, target: TargetKey, request: u64) -> Option<DaemonRecord> {
+    fn best_helper(&self, target: TargetKey, purpose: Purpose<'_>) -> Option<DaemonRecord> {
         let now = self.now();
         let state = self.state.borrow();
         let known = state.directory.get(target)?;
@@ -308,7 +331,9 @@
             target_domain: &known.entry.domain,
             own: &self.settings.daemon,
             own_domain: &self.settings.domain,
-            request,
+            request: purpose.request,
+            homes: purpose.homes,
+            regions: &self.settings.regions,
         };
         let helpers = state.reach.helpers(now, &query, &state.daemons);
         helpers.first().copied().cloned()
@@ -320,7 +345,7 @@
         rt::spawn(async move {
             let limit = edge.settings.tuning.connect_timeout;
             // The result is recorded while connecting.
-            if let Ok(opened) = edge.connect_to(target, limit, rand::random()).await
+            if let Ok(opened) = edge.connect_to(target, limit, Purpose::check()).await
                 && opened.through.is_none()
             {
                 edge.keep_connection(target, opened.connection);
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -19,6 +19,7 @@
 use crate::dialect::{AnswerMetadata, AttemptHeaders};
 use crate::http::{AnswerBody, Connection, ExchangeError};
 use crate::millis::millis;
+use crate::paths::Purpose;
 use crate::spans::ActiveSpan;
 
 /// Longest body of a failed answer that is buffered to be forwarded to the caller, in bytes.
@@ -440,8 +441,11 @@
     }
     edge.metrics.connections_opened.add(1, &[]);
     let timeout = edge.settings.tuning.connect_timeout.min(job.time_left());
-    let hash = request_hash(&job.request.envelope.id);
-    let opened = edge.connect_to(target, timeout, hash).await?;
+    let purpose = Purpose {
+        request: request_hash(&job.request.envelope.id),
+        homes: job.request.homes(),
+    };
+    let opened = edge.connect_to(target, timeout, purpose).await?;
     Ok(Connected {
         connection: opened.connection,
         is_reused: false,
--- a/crates/soak/src/slopes/mod.rs
+++ b/crates/soak/src/slopes/mod.rs
@@ -91,41 +91,6 @@
         });
         points.collect::<Vec<Point>>()
     };
-    let path_costs = [6, 12, 85, 195, 400].map(|daemons| (daemons, paths::measure(daemons)));
-    let path_series = |value: fn(&paths::PathCost) -> f64| {
-        let points = path_costs.iter().map(|(daemons, cost)| Point {
-            size: f64::from(*daemons),
-            value: value(cost),
-        });
-        points.collect::<Vec<Point>>()
-    };
-    let path_report = [
-        format_series(
-            "calls for a forwarded connection while two thirds have lost their paths, by daemons",
-            "calls",
-            &path_series(|cost| cost.calls_per_connection),
-        ),
-        format_series(
-            "connections of the daemon that forwards most, by daemons",
-            "of the mean",
-            &path_series(|cost| cost.most_forwarded),
-        ),
-        format_series(
-            "probes of a daemon that has lost its paths, by daemons",
-            "probes/s",
-            &path_series(|cost| cost.probes_per_s),
-        ),
-        format_series(
-            "ranking the daemons to ask for a connection, by daemons",
-            "us",
-            &path_series(|cost| cost.rank_us),
-        ),
-        format_series(
-            "looking a path up at a daemon that has lost its paths, by daemons",
-            "us",
-            &path_series(|cost| cost.look_up_us),
-        ),
-    ];
     let others = [
         format_series(
             "target choice for a chat, by engines",
@@ -180,7 +145,47 @@
             &stream_series(|cost| cost.records_per_s),
         ),
     ];
-    others.concat() + &path_report.concat()
+    others.concat() + &path_report()
+}
+
+/// Series of the connections that daemons forward for others.
+fn path_report() -> String {
+    let path_costs = [6, 12, 85, 195, 400].map(|daemons| (daemons, paths::measure(daemons)));
+    let path_series = |value: fn(&paths::PathCost) -> f64| {
+        let points = path_costs.iter().map(|(daemons, cost)| Point {
+            size: f64::from(*daemons),
+            value: value(cost),
+        });
+        points.collect::<Vec<Point>>()
+    };
+    let series = [
+        format_series(
+            "calls for a forwarded connection while two thirds have lost their paths, by daemons",
+            "calls",
+            &path_series(|cost| cost.calls_per_connection),
+        ),
+        format_series(
+            "connections of the daemon that forwards most, by daemons",
+            "of the mean",
+            &path_series(|cost| cost.most_forwarded),
+        ),
+        format_series(
+            "probes of a daemon that has lost its paths, by daemons",
+            "probes/s",
+            &path_series(|cost| cost.probes_per_s),
+        ),
+        format_series(
+            "ranking the daemons to ask for a connection, by daemons",
+            "us",
+            &path_series(|cost| cost.rank_us),
+        ),
+        format_series(
+            "looking a path up at a daemon that has lost its paths, by daemons",
+            "us",
+            &path_series(|cost| cost.look_up_us),
+        ),
+    ];
+    series.concat()
 }
 
 fn target_entry(number: u16) -> TargetEntry {
--- a/crates/soak/src/slopes/paths.rs
+++ b/crates/soak/src/slopes/paths.rs
@@ -8,6 +8,8 @@
 use lapismoor_core::ids::{FailureDomain, TargetKey};
 use lapismoor_core::membership::{DaemonRecord, HelperQuery, Reach};
 
+use lapismoor_core::routing::{Homes, Regions};
+
 use super::{as_micros, count, daemon_record, mean_time};
 
 /// Targets of the fleet, by daemon, at most.
@@ -46,6 +48,7 @@
     let targets = (usize::from(daemons) * 3 / 2).clamp(9, MAX_TARGETS);
     let domains = ["domain-0", "domain-1", "domain-2", "domain-3", "domain-4"];
     let domains = domains.map(FailureDomain::from);
+    let regions = Regions::default();
     let mut reach = vec![Reach::default(); records.len()];
     let mut forwarded = vec![0_usize; records.len()];
     let (mut calls, mut connections, mut probes) = (0, 0, 0);
@@ -64,12 +67,8 @@
             if !reach[daemon].is_lost(now, key) {
                 reach[daemon].record_not_connected(now, key);
             }
-            let query = query(
-                &records[daemon],
-                key,
-                &domains[target % domains.len()],
-                round,
-            );
+            let domain = &domains[target % domains.len()];
+            let query = query(&records[daemon], key, domain, &regions, round);
             for _ in 0..MAX_ASKED {
                 let helpers = reach[daemon].helpers(now, &query, &records);
                 let Some(helper) = helpers.first().copied() else {
@@ -107,6 +106,7 @@
     own: &'a DaemonRecord,
     target: TargetKey,
     target_domain: &'a FailureDomain,
+    regions: &'a Regions,
     round: usize,
 ) -> HelperQuery<'a> {
     HelperQuery {
@@ -115,6 +115,8 @@
         own: &own.id,
         own_domain: &own.domain,
         request: lapismoor_core::ids::hash_parts(&[own.id.as_bytes(), &round.to_le_bytes()]),
+        homes: Homes::default(),
+        regions,
     }
 }
 
@@ -125,8 +127,9 @@
     domains: &[FailureDomain],
 ) -> (f64, f64) {
     let now: Moment = Duration::from_secs(20);
+    let regions = Regions::default();
     let rank = mean_time(|round| {
-        let query = query(&records[1], 1, &domains[0], round as usize);
+        let query = query(&records[1], 1, &domains[0], &regions, round as usize);
         black_box(reach.helpers(now, &query, records));
     });
     let look_up = mean_time(|round| {
