--- a/crates/edge/src/paths.rs
+++ b/crates/edge/src/paths.rs
@@ -86,8 +86,12 @@
             return Err(ExchangeError::ConnectTimeout);
         };
         if self.is_path_lost(target) {
-            let relayed = self.open_relayed(target, purpose).await;
-            return relayed.map_err(|_| ExchangeError::ConnectTimeout);
+            match self.open_relayed(target, purpose).await {
+                Ok(opened) => return Ok(opened),
+                // No other daemon is left to ask, and the path may just be back.
+                Err(Finding::Untried) => {}
+                Err(_) => return Err(ExchangeError::ConnectTimeout),
+            }
         }
         let direct = Connection::open(address, limit);
         tokio::pin!(direct);
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -445,7 +445,9 @@
         request: request_hash(&job.request.envelope.id),
         homes: job.request.homes(),
     };
-    let opened = edge.connect_to(target, timeout, purpose).await?;
+    let opening = edge.connect_to(target, timeout, purpose);
+    let opened = tokio::time::timeout(job.time_left(), opening).await;
+    let opened = opened.unwrap_or(Err(ExchangeError::ConnectTimeout))?;
     Ok(Connected {
         connection: opened.connection,
         is_reused: false,
