--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Daemon, Record, Run, Runs, start_engine};
+use crate::fleet::{Daemon, Record, Run, Runs, start_engine, start_losing_engine};
+use crate::json::Json;
 use crate::http::{Request, Response, send};
 use crate::store::Store;
 
@@ -87,6 +88,7 @@
             "revoked-after-restore" => self.revoked_after_restore(),
             "key-after-restore" => self.key_after_restore(),
             "refused-at-start" => self.refused_at_start(),
+            "chat-runs-twice" => self.chat_runs_twice(),
             "encoded-path" => self.encoded_path(),
             _ => Err(std::io::Error::other("there is no such case")),
         }
@@ -385,4 +387,68 @@
         }
         Ok(!changed.is_empty())
     }
+
+    /// TWICE: the answer of a chat with a ticket is lost.
+    fn chat_runs_twice(&self) -> Outcome {
+        let (store, runs) = (Store::start(), Runs::default());
+        let profiles = format!(
+            "{{\"workspaces\":[{{\"name\":\"crew\",\"key_sha256\":\"{}\",\"weight\":1,\"requests_per_second\":400}}],\
+             \"pools\":[{{\"name\":\"scene\",\"kind\":\"engines\",\"models\":[\"scene-composer\"],\"slots_per_target\":16}}],\
+             \"profiles\":[{{\"name\":\"evening\",\"pool\":\"scene\",\"model\":\"scene-composer\",\"class\":\"normal\",\
+             \"deadline_ms\":5000,\"replayable\":false}}]}}",
+            CREW.1
+        );
+        self.apply_profiles(&store, "profile evening, not replayable", &profiles)?;
+        store.put("op/config", &configuration(1, &[("map.example", "/lookup/", "idempotent", "scene")], &["scene"]));
+        // Half of the engines lose one answer in four.
+        let loses = if self.has_trouble { 4 } else { 0 };
+        for (id, loses) in [("i-0001", loses), ("i-0002", loses), ("i-0003", 0), ("i-0004", 0)] {
+            start_losing_engine(&store, &self.record, &runs, "scene", id, LOOKUP_TIME, loses);
+        }
+        let daemons = self.start_daemons(&store, 2)?;
+        for number in 0..40 {
+            let daemon = daemons[number % daemons.len()].front;
+            let ticket = self.ticket(daemon)?;
+            let id = format!("scene-{number}.");
+            let request = Request {
+                method: "POST".into(),
+                target: "/v1/chat/completions".into(),
+                headers: vec![
+                    ("Host".into(), "api.example".into()),
+                    ("Authorization".into(), format!("Bearer {}", CREW.0)),
+                    ("Content-Type".into(), "application/json".into()),
+                    ("x-ticket".into(), ticket),
+                ],
+                body: format!("{{\"messages\":[{{\"role\":\"user\",\"content\":\"{id}\"}}]}}").into_bytes(),
+            };
+            let response = send(daemon, &request, Duration::from_secs(6));
+            self.log_call(&id, &request, &response);
+            std::thread::sleep(Duration::from_millis(150));
+        }
+        let runs = runs.all();
+        let count = |number: usize| runs.iter().filter(|run| run.body.contains(&format!("\"scene-{number}.\""))).count();
+        let twice = (0..40).filter(|number| count(*number) > 1).count();
+        self.record.line(&format!("of 40 chats with a ticket, {twice} ran more than once; {} runs", runs.len()));
+        if (0..40).any(|number| count(number) == 0) {
+            return Err(std::io::Error::other("a chat did not run at all"));
+        }
+        Ok(twice > 0)
+    }
+
+    /// Asks for a ticket: "for a request that must not run twice".
+    fn ticket(&self, daemon: SocketAddr) -> std::io::Result<String> {
+        let request = Request {
+            method: "POST".into(),
+            target: "/v1/tickets".into(),
+            headers: vec![
+                ("Host".into(), "api.example".into()),
+                ("Authorization".into(), format!("Bearer {}", CREW.0)),
+            ],
+            body: Vec::new(),
+        };
+        let response = send(daemon, &request, CALLER_DEADLINE)?;
+        let text = String::from_utf8_lossy(&response.body).into_owned();
+        let ticket = Json::parse(&text).map(|body| body.text("ticket").to_owned());
+        ticket.filter(|ticket| !ticket.is_empty()).ok_or_else(|| std::io::Error::other(format!("no ticket: {text}")))
+    }
 }
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,11 @@
 /// Interval at which an engine writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// The events of a chat's answer.
+const EVENTS: &str = "id: 1\ndata: {\"id\":\"c\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"dim the hall\"},\
+                      \"finish_reason\":null}]}\n\nid: 2\ndata: {\"id\":\"c\",\"choices\":[{\"index\":0,\"delta\":{},\
+                      \"finish_reason\":\"stop\"}]}\n\nid: 3\ndata: [DONE]\n\n";
+
 /// Writes what happens, with the seconds since the start of the case.
 #[derive(Clone)]
 pub struct Record {
@@ -57,14 +63,35 @@
 /// Starts an engine of a service, which works on each request for `work`, and keeps its entry in the
 /// store.
 pub fn start_engine(store: &Store, record: &Record, runs: &Runs, service: &str, id: &str, work: Duration) {
+    start_losing_engine(store, record, runs, service, id, work, 0);
+}
+
+/// Starts an engine like [`start_engine`] that loses the answer of each request with a number that `loses`
+/// divides, after it ran the request; of none if it is 0.
+pub fn start_losing_engine(
+    store: &Store,
+    record: &Record,
+    runs: &Runs,
+    service: &str,
+    id: &str,
+    work: Duration,
+    loses: usize,
+) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("bound");
     let (for_answers, for_record) = (runs.clone(), record.clone());
     let (own_id, own_service) = (id.to_owned(), service.to_owned());
+    let ran = AtomicUsize::new(0);
     serve(
         listener,
         Arc::new(move |request: Request| {
-            Some(answer(&for_answers, &for_record, &own_service, &own_id, work, &request))
+            let response = answer(&for_answers, &for_record, &own_service, &own_id, work, &request);
+            let has_run = !response.header("lapismoor-response-seal").is_empty();
+            if has_run && loses > 0 && (ran.fetch_add(1, Ordering::Relaxed) + 1).is_multiple_of(loses) {
+                for_record.line(&format!("engine {own_id} loses the answer and closes the connection"));
+                return None;
+            }
+            Some(response)
         }),
     );
     let (store, key, service) = (store.clone(), format!("servers/{id}"), service.to_owned());
@@ -110,7 +137,12 @@
     ));
     runs.0.lock().expect("not poisoned").push(run);
     std::thread::sleep(work);
-    Response::new(200, format!("answer of {service} to {request_id}"))
+    let response = if request.target == "/v1/chat/completions" {
+        Response::new(200, EVENTS).with("Content-Type", "text/event-stream")
+    } else {
+        Response::new(200, format!("answer of {service} to {request_id}"))
+    };
+    response
         .with("Lapismoor-Request-Id", &request_id)
         .with("Lapismoor-Response-Seal", &format!("seal.{id}.{request_id}"))
 }
