--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{Request, Response, send, serve};
+use crate::http::{send, serve, Request, Response};
 use crate::store::Store;
 
 /// Interval at which an engine writes its entry.
@@ -30,7 +30,10 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { file, started_at: Instant::now() })
+        Ok(Self {
+            file,
+            started_at: Instant::now(),
+        })
     }
 
     pub fn line(&self, text: &str) {
@@ -62,7 +65,14 @@
 
 /// Starts an engine of a service, which works on each request for `work`, and keeps its entry in the
 /// store.
-pub fn start_engine(store: &Store, record: &Record, runs: &Runs, service: &str, id: &str, work: Duration) {
+pub fn start_engine(
+    store: &Store,
+    record: &Record,
+    runs: &Runs,
+    service: &str,
+    id: &str,
+    work: Duration,
+) {
     start_losing_engine(store, record, runs, service, id, work, 0);
 }
 
@@ -85,10 +95,22 @@
     serve(
         listener,
         Arc::new(move |request: Request| {
-            let response = answer(&for_answers, &for_record, &own_service, &own_id, work, &request);
+            let response = answer(
+                &for_answers,
+                &for_record,
+                &own_service,
+                &own_id,
+                work,
+                &request,
+            );
             let has_run = !response.header("lapismoor-response-seal").is_empty();
-            if has_run && loses > 0 && (ran.fetch_add(1, Ordering::Relaxed) + 1).is_multiple_of(loses) {
-                for_record.line(&format!("engine {own_id} loses the answer and closes the connection"));
+            if has_run
+                && loses > 0
+                && (ran.fetch_add(1, Ordering::Relaxed) + 1).is_multiple_of(loses)
+            {
+                for_record.line(&format!(
+                    "engine {own_id} loses the answer and closes the connection"
+                ));
                 return None;
             }
             Some(response)
@@ -112,7 +134,14 @@
     });
 }
 
-fn answer(runs: &Runs, record: &Record, service: &str, id: &str, work: Duration, request: &Request) -> Response {
+fn answer(
+    runs: &Runs,
+    record: &Record,
+    service: &str,
+    id: &str,
+    work: Duration,
+    request: &Request,
+) -> Response {
     if request.target == "/healthz" {
         return Response::new(200, "").with("Lapismoor-Instance-Id", id);
     }
@@ -142,9 +171,10 @@
     } else {
         Response::new(200, format!("answer of {service} to {request_id}"))
     };
-    response
-        .with("Lapismoor-Request-Id", &request_id)
-        .with("Lapismoor-Response-Seal", &format!("seal.{id}.{request_id}"))
+    response.with("Lapismoor-Request-Id", &request_id).with(
+        "Lapismoor-Response-Seal",
+        &format!("seal.{id}.{request_id}"),
+    )
 }
 
 /// A daemon as a process of its own. It is killed when dropped.
@@ -161,7 +191,12 @@
 /// fixed.
 fn own_ip(number: u8) -> IpAddr {
     let pid = std::process::id();
-    let bytes = [127, 20 + (pid / 250 % 200) as u8, (pid % 250) as u8, 10 + number];
+    let bytes = [
+        127,
+        20 + (pid / 250 % 200) as u8,
+        (pid % 250) as u8,
+        10 + number,
+    ];
     IpAddr::V4(Ipv4Addr::from(bytes))
 }
 
@@ -172,7 +207,12 @@
 
 impl Daemon {
     /// Starts `lapismoord platform`, as the deploy file does.
-    pub fn start(root: &Path, directory: &Path, store: &Store, number: u8) -> std::io::Result<Self> {
+    pub fn start(
+        root: &Path,
+        directory: &Path,
+        store: &Store,
+        number: u8,
+    ) -> std::io::Result<Self> {
         let ip = own_ip(number);
         let (front, ready, peers) = (free_port(ip), free_port(ip), free_port(ip).port());
         let name = format!("edge-east-{number}");
@@ -196,7 +236,14 @@
         std::fs::write(&settings, text)?;
         let log = directory.join(format!("{name}.log"));
         let process = spawn(root, &settings, &log)?;
-        Ok(Self { name, front, ready, settings, log, process })
+        Ok(Self {
+            name,
+            front,
+            ready,
+            settings,
+            log,
+            process,
+        })
     }
 
     /// SIGKILL.
@@ -219,7 +266,8 @@
             headers: vec![("Host".into(), "ready".into())],
             body: Vec::new(),
         };
-        send(self.ready, &request, Duration::from_secs(1)).is_ok_and(|response| response.status == 200)
+        send(self.ready, &request, Duration::from_secs(1))
+            .is_ok_and(|response| response.status == 200)
     }
 
     pub fn wait_until_ready(&self) -> std::io::Result<()> {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -22,7 +22,9 @@
 }
 
 fn header<'a>(headers: &'a [(String, String)], name: &str) -> &'a str {
-    let found = headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map_or("", |(_, value)| value.as_str())
 }
 
@@ -35,7 +37,11 @@
 
 impl Response {
     pub fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
-        Self { status, headers: Vec::new(), body: body.into() }
+        Self {
+            status,
+            headers: Vec::new(),
+            body: body.into(),
+        }
     }
 
     pub fn with(mut self, name: &str, value: &str) -> Self {
@@ -123,7 +129,8 @@
             let mut line = String::new();
             reader.read_line(&mut line)?;
             let size = line.trim().split(';').next().unwrap_or_default();
-            let size = usize::from_str_radix(size, 16).map_err(|_| std::io::ErrorKind::InvalidData)?;
+            let size =
+                usize::from_str_radix(size, 16).map_err(|_| std::io::ErrorKind::InvalidData)?;
             let mut chunk = vec![0; size + 2];
             reader.read_exact(&mut chunk)?;
             if size == 0 {
@@ -142,7 +149,11 @@
 }
 
 /// Sends a request on a new connection and waits for the whole answer, at most for `timeout`.
-pub fn send(address: SocketAddr, request: &Request, timeout: Duration) -> std::io::Result<Response> {
+pub fn send(
+    address: SocketAddr,
+    request: &Request,
+    timeout: Duration,
+) -> std::io::Result<Response> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
@@ -159,8 +170,15 @@
     stream.write_all(&bytes)?;
     let mut reader = BufReader::new(stream);
     let (line, headers) = read_head(&mut reader)?.ok_or(std::io::ErrorKind::UnexpectedEof)?;
-    let status = line.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let status = line
+        .split(' ')
+        .nth(1)
+        .and_then(|status| status.parse().ok());
     let status = status.ok_or(std::io::ErrorKind::InvalidData)?;
     let body = read_body(&mut reader, &headers, true)?;
-    Ok(Response { status, headers, body })
+    Ok(Response {
+        status,
+        headers,
+        body,
+    })
 }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -14,13 +14,19 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Self> {
-        let mut reader = Reader { bytes: text.as_bytes(), position: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            position: 0,
+        };
         reader.value()
     }
 
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Self::Object(fields) => fields.iter().find(|(key, _)| key == name).map(|(_, value)| value),
+            Self::Object(fields) => fields
+                .iter()
+                .find(|(key, _)| key == name)
+                .map(|(_, value)| value),
             _ => None,
         }
     }
@@ -69,7 +75,11 @@
 
 impl Reader<'_> {
     fn peek(&mut self) -> Option<u8> {
-        while self.bytes.get(self.position).is_some_and(u8::is_ascii_whitespace) {
+        while self
+            .bytes
+            .get(self.position)
+            .is_some_and(u8::is_ascii_whitespace)
+        {
             self.position += 1;
         }
         self.bytes.get(self.position).copied()
@@ -113,7 +123,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.position;
-                while self.bytes.get(self.position).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.position)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.position += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.position]).ok()?;
@@ -123,10 +137,12 @@
     }
 
     fn word(&mut self, word: &str, value: Json) -> Option<Json> {
-        self.bytes[self.position..].starts_with(word.as_bytes()).then(|| {
-            self.position += word.len();
-            value
-        })
+        self.bytes[self.position..]
+            .starts_with(word.as_bytes())
+            .then(|| {
+                self.position += word.len();
+                value
+            })
     }
 
     fn string(&mut self) -> Option<String> {
@@ -147,7 +163,8 @@
                         b'u' => {
                             let hex = self.bytes.get(self.position..self.position + 4)?;
                             self.position += 4;
-                            let code = u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(hex).ok()?, 16).ok()?;
                             out.extend(char::from_u32(code).unwrap_or('?').to_string().bytes());
                         }
                         other => out.push(other),
@@ -165,7 +182,11 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let padded = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let padded = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let bits = u32::from(padded[0]) << 16 | u32::from(padded[1]) << 8 | u32::from(padded[2]);
         for index in 0..4 {
             let letter = BASE64[(bits >> (18 - 6 * index) & 63) as usize] as char;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -38,9 +38,14 @@
         record: Record::create(&folder.join("record.txt"))?,
         has_trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
-    case.record.line(&format!("case {name}, with trouble: {}", case.has_trouble));
+    case.record
+        .line(&format!("case {name}, with trouble: {}", case.has_trouble));
     let is_broken = case.run(name)?;
-    case.record.line(if is_broken { "VERDICT: the rule was broken" } else { "VERDICT: the rule held" });
+    case.record.line(if is_broken {
+        "VERDICT: the rule was broken"
+    } else {
+        "VERDICT: the rule held"
+    });
     Ok(is_broken)
 }
 
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{Request, Response, serve};
-use crate::json::{Json, base64, quote};
+use crate::http::{serve, Request, Response};
+use crate::json::{base64, quote, Json};
 
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
@@ -60,16 +60,29 @@
 impl State {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
-        let item = Item { value, revision: self.revision, created, lease };
-        self.events.push((self.revision, key.into(), item_json(key, &item)));
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = Item {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.events
+            .push((self.revision, key.into(), item_json(key, &item)));
         self.items.insert(key.into(), item);
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            let event = format!("{{\"key\":{},\"revision\":{},\"removed\":true}}", quote(key), self.revision);
+            let event = format!(
+                "{{\"key\":{},\"revision\":{},\"removed\":true}}",
+                quote(key),
+                self.revision
+            );
             self.events.push((self.revision, key.into(), event));
         }
     }
@@ -86,9 +99,16 @@
         if after < self.history_from || after > self.revision {
             return Some(Response::new(410, "{}"));
         }
-        let events = self.events.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+        let events = self
+            .events
+            .iter()
+            .filter(|(at, key, _)| *at > after && key.starts_with(prefix));
         let events: Vec<&str> = events.map(|(_, _, event)| event.as_str()).collect();
-        let text = format!("{{\"events\":[{}],\"as_of\":{}}}", events.join(","), self.revision);
+        let text = format!(
+            "{{\"events\":[{}],\"as_of\":{}}}",
+            events.join(","),
+            self.revision
+        );
         (is_last || !events.is_empty()).then(|| Response::new(200, text))
     }
 }
@@ -107,20 +127,24 @@
             leases: BTreeMap::new(),
             last_lease: 0,
         };
-        let store = Self { state: Arc::new((Mutex::new(state), Condvar::new())), address };
+        let store = Self {
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+            address,
+        };
         let for_calls = store.clone();
-        serve(listener, Arc::new(move |request| Some(for_calls.answer(&request))));
+        serve(
+            listener,
+            Arc::new(move |request| Some(for_calls.answer(&request))),
+        );
         let for_leases = store.clone();
-        std::thread::spawn(move || {
-            loop {
-                std::thread::sleep(Duration::from_millis(100));
-                for_leases.change(|state| {
-                    let now = Instant::now();
-                    let ended = state.leases.iter().filter(|(_, (_, until))| *until <= now);
-                    let ended: Vec<u64> = ended.map(|(id, _)| *id).collect();
-                    ended.into_iter().for_each(|id| state.end_lease(id));
-                });
-            }
+        std::thread::spawn(move || loop {
+            std::thread::sleep(Duration::from_millis(100));
+            for_leases.change(|state| {
+                let now = Instant::now();
+                let ended = state.leases.iter().filter(|(_, (_, until))| *until <= now);
+                let ended: Vec<u64> = ended.map(|(id, _)| *id).collect();
+                ended.into_iter().for_each(|id| state.end_lease(id));
+            });
         });
         store
     }
@@ -165,20 +189,31 @@
     fn answer(&self, request: &Request) -> Response {
         std::thread::sleep(ANSWER_TIME);
         let is_down = self.change(|state| state.is_down);
-        let response = if is_down { Response::new(503, "{}") } else { self.call(request) };
+        let response = if is_down {
+            Response::new(503, "{}")
+        } else {
+            self.call(request)
+        };
         let era = self.change(|state| state.era);
         let response = response.with("Store-Era", &era.to_string());
         response.with("Content-Type", "application/json")
     }
 
     fn call(&self, request: &Request) -> Response {
-        let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+        let (path, query) = request
+            .target
+            .split_once('?')
+            .unwrap_or((&request.target, ""));
         let field = |name: &str| -> String {
             let found = query.split('&').filter_map(|pair| pair.split_once('='));
-            let found = found.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned());
+            let found = found
+                .filter(|(key, _)| *key == name)
+                .map(|(_, value)| value.to_owned());
             found.last().unwrap_or_default()
         };
-        let body = std::str::from_utf8(&request.body).ok().and_then(Json::parse);
+        let body = std::str::from_utf8(&request.body)
+            .ok()
+            .and_then(Json::parse);
         let body = body.unwrap_or(Json::Null);
         match (request.method.as_str(), path) {
             ("GET", "/v1/kv-key") => self.change(|state| match state.items.get(&field("key")) {
@@ -187,22 +222,37 @@
             }),
             ("GET", "/v1/kv-range") => self.change(|state| {
                 let prefix = field("prefix");
-                let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix));
+                let items = state
+                    .items
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&prefix));
                 let items: Vec<String> = items.map(|(key, item)| item_json(key, item)).collect();
                 let (items, as_of) = (items.join(","), state.revision);
-                Response::new(200, format!("{{\"items\":[{items}],\"more_pages\":false,\"as_of\":{as_of}}}"))
+                Response::new(
+                    200,
+                    format!("{{\"items\":[{items}],\"more_pages\":false,\"as_of\":{as_of}}}"),
+                )
             }),
             ("GET", "/v1/kv-watch") => self.watch(&field),
             ("POST", "/v1/kv-lease") => self.change(|state| {
                 state.last_lease += 1;
                 let ttl_ms = body.number("ttl_ms").max(1_000);
                 let ttl = Duration::from_millis(ttl_ms);
-                state.leases.insert(state.last_lease, (ttl, Instant::now() + ttl));
-                Response::new(200, format!("{{\"lease\":{},\"ttl_ms\":{ttl_ms}}}", state.last_lease))
+                state
+                    .leases
+                    .insert(state.last_lease, (ttl, Instant::now() + ttl));
+                Response::new(
+                    200,
+                    format!("{{\"lease\":{},\"ttl_ms\":{ttl_ms}}}", state.last_lease),
+                )
             }),
             ("POST", "/v1/kv-txn") => self.change(|state| transact(state, &body)),
             ("POST", path) if path.starts_with("/v1/kv-keep/") => self.change(|state| {
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 match state.leases.get_mut(&id) {
                     Some((ttl, until)) => {
                         *until = Instant::now() + *ttl;
@@ -212,7 +262,11 @@
                 }
             }),
             ("DELETE", path) if path.starts_with("/v1/kv-lease-end/") => self.change(|state| {
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 state.end_lease(id);
                 Response::new(200, "{}")
             }),
@@ -233,26 +287,41 @@
             if let Some(response) = state.changes(&prefix, after, left.is_zero()) {
                 return response;
             }
-            state = self.state.1.wait_timeout(state, left).expect("not poisoned").0;
+            state = self
+                .state
+                .1
+                .wait_timeout(state, left)
+                .expect("not poisoned")
+                .0;
         }
     }
 }
 
 fn transact(state: &mut State, body: &Json) -> Response {
     let sets = body.list("set_keys");
-    let has_lease = |set: &Json| set.number("lease") == 0 || state.leases.contains_key(&set.number("lease"));
+    let has_lease =
+        |set: &Json| set.number("lease") == 0 || state.leases.contains_key(&set.number("lease"));
     if !sets.iter().all(has_lease) {
         return Response::new(404, "{}");
     }
     let expected = body.list("expected_rev");
     let current = |key: &str| state.items.get(key).map_or(0, |item| item.revision);
-    if !expected.iter().all(|row| current(row.text("key")) == row.number("revision")) {
-        let items = expected.iter().filter_map(|row| state.items.get_key_value(row.text("key")));
+    if !expected
+        .iter()
+        .all(|row| current(row.text("key")) == row.number("revision"))
+    {
+        let items = expected
+            .iter()
+            .filter_map(|row| state.items.get_key_value(row.text("key")));
         let items: Vec<String> = items.map(|(key, item)| item_json(key, item)).collect();
         return Response::new(412, format!("{{\"items\":[{}]}}", items.join(",")));
     }
     for set in sets {
-        state.put(set.text("key"), set.text("value").into(), set.number("lease"));
+        state.put(
+            set.text("key"),
+            set.text("value").into(),
+            set.number("lease"),
+        );
     }
     for key in body.list("remove") {
         if let Json::Text(key) = key {
