Log the host and path that select a request's route

Neither `sent` nor `refused` said which host the daemon had read, so that three hypotheses could not be told apart: another header than `Host` is read (1), two places read the host in different ways and disagree (2), an absolute request target counts (3). `sent` now has `host` and `route`, `refused` has `host` and `path`, shortened to 64 characters. No change of logic.

--- a/crates/edge/src/profiles/admitted_request.rs
+++ b/crates/edge/src/profiles/admitted_request.rs
@@ -61,6 +61,7 @@
         method_and_uri(request).ok_or_else(|| not_dispatched(FailureKind::Invalid))?;
     Ok(AdmittedRequest {
         config_version: accepted.revision,
+        host: CompactString::default(),
         service: service.name.clone(),
         workspace: Some(workspace.name.clone()),
         workspace_homes: profile_route::sorted(&workspace.home_regions),
--- a/crates/edge/src/profiles/gateway.rs
+++ b/crates/edge/src/profiles/gateway.rs
@@ -13,7 +13,7 @@
 use super::{idempotency, outcome};
 use crate::context::Edge;
 use crate::in_flight::CallerGuard;
-use crate::serve::{Job, report_refused, run};
+use crate::serve::{AdmittedRequest, Job, report_refused, run};
 
 /// Builds the interface through which the HTTP handlers reach the daemon.
 pub(crate) fn gateway(edge: &Rc<Edge>) -> Gateway {
@@ -87,12 +87,7 @@
         Err(failure) => return single(CallerAnswer::Fail(failure)),
     };
     if !guard.is_accepted {
-        report_refused(
-            &edge,
-            &admitted_request.envelope.id,
-            received,
-            &Refusal::Stopping,
-        );
+        report(&edge, &admitted_request, &Refusal::Stopping);
         return single(CallerAnswer::Fail(outcome::refusal_failure(
             &Refusal::Stopping,
         )));
@@ -101,7 +96,7 @@
         Ok(permit) => permit,
         Err(wait) => {
             let refusal = Refusal::WorkspaceLimit { retry_after: wait };
-            report_refused(&edge, &admitted_request.envelope.id, received, &refusal);
+            report(&edge, &admitted_request, &refusal);
             let failure = Failure::not_run(
                 NotRunProof::NeverDispatched,
                 FailureKind::WorkspaceLimit,
@@ -114,6 +109,17 @@
     with_permit(permit, outcome::answers(outcome))
 }
 
+fn report(edge: &Edge, request: &AdmittedRequest, refusal: &Refusal) {
+    let route_key = (request.host.as_str(), request.uri.path());
+    report_refused(
+        edge,
+        &request.envelope.id,
+        route_key,
+        request.received,
+        refusal,
+    );
+}
+
 /// Holds a permit until the stream ends or is dropped because the caller disconnected.
 fn with_permit(permit: WorkspacePermit, answers: AnswerStream) -> AnswerStream {
     let state = (permit, answers);
--- a/crates/edge/src/serve/admitted_request.rs
+++ b/crates/edge/src/serve/admitted_request.rs
@@ -5,6 +5,7 @@
 use actix_http::header::{self, HeaderMap, HeaderName};
 use actix_http::{Method, Uri};
 use bytes::Bytes;
+use compact_str::CompactString;
 use lapismoor_core::Moment;
 use lapismoor_core::admission::Priority;
 use lapismoor_core::ids::{ConfigVersion, Region, ServiceId, WorkspaceId};
@@ -16,6 +17,8 @@
 /// A request that was matched to a route or profile and may be sent.
 pub(crate) struct AdmittedRequest {
     pub config_version: ConfigVersion,
+    /// Host that selected the route, for logs; empty if a profile did.
+    pub host: CompactString,
     pub route: Rc<Route>,
     pub service: ServiceId,
     /// Workspace of the caller; none on public routes.
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -13,6 +13,7 @@
 use opentelemetry::trace::SpanKind;
 
 use super::job::{InFlight, Job};
+use super::report;
 use super::request_hash;
 use super::run::EVACUATED;
 use crate::context::Edge;
@@ -536,6 +537,8 @@
         request:% = job.request.envelope.id,
         target:% = target_id,
         through = through.map(ToString::to_string),
+        host = report::shortened(&job.request.host),
+        route:% = job.request.route.name,
         service:% = job.request.service,
         version = job.edge.version_label(choice.target),
         config_version = job.request.config_version,
--- a/crates/edge/src/serve/dry_run.rs
+++ b/crates/edge/src/serve/dry_run.rs
@@ -315,6 +315,7 @@
     };
     Ok(AdmittedRequest {
         config_version: authorized.config.version(),
+        host: query.host,
         service,
         priority,
         workspace,
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -53,7 +53,8 @@
     let authorized = match authorize(&edge, &host, request.path(), find_workspace) {
         Ok(authorized) => authorized,
         Err(refusal) => {
-            report::refused(&edge, &envelope.id, received, &refusal);
+            let route_key = (host.as_str(), request.path());
+            report::refused(&edge, &envelope.id, route_key, received, &refusal);
             body::discard(&mut payload).await;
             return responses::refused(&edge, &refusal);
         }
@@ -70,6 +71,7 @@
     };
     let admitted_request = AdmittedRequest {
         config_version: authorized.config.version(),
+        host: host.into(),
         service: service(&authorized.route, &envelope),
         priority,
         workspace,
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -18,8 +18,14 @@
 use crate::store::ClaimResult;
 use crate::streams::FoundStream;
 
-/// Length to which the request that a caller names is shortened in logs.
-const MAX_ID_CHARS: usize = 64;
+/// Length to which the texts that a caller names are shortened in logs.
+const MAX_LOGGED_CHARS: usize = 64;
+
+/// The beginning of a text that a caller names.
+pub(super) fn shortened(text: &str) -> &str {
+    let end = text.char_indices().nth(MAX_LOGGED_CHARS);
+    end.map_or(text, |(end, _)| &text[..end])
+}
 
 /// Reports an admitted request that was refused. No target ran it.
 pub(crate) fn job_refused(job: &Job, refusal: &Refusal) {
@@ -28,7 +34,8 @@
     if matches!(refusal, Refusal::CrashesTargets { .. }) {
         suspect_refused(job);
     }
-    refused(&job.edge, id, job.request.received, refusal);
+    let route_key = (job.request.host.as_str(), job.request.uri.path());
+    refused(&job.edge, id, route_key, job.request.received, refusal);
 }
 
 /// Reports that a target had no room for the request within its limit, and what follows. `room_in` is
@@ -149,11 +156,19 @@
     );
 }
 
-/// Reports a request that was refused. No target ran it.
-pub(crate) fn refused(edge: &Edge, id: &CompactString, received: Moment, refusal: &Refusal) {
+/// Reports a request that was refused. No target ran it. `host` and `path` select its route.
+pub(crate) fn refused(
+    edge: &Edge,
+    id: &CompactString,
+    (host, path): (&str, &str),
+    received: Moment,
+    refusal: &Refusal,
+) {
     edge.metrics.count_refused(refusal.name());
     log::warn!(
         request:% = id,
+        host = shortened(host),
+        path = shortened(path),
         reason = refusal.name(),
         status = refusal.status(),
         come_back_ms = refusal.retry_after().map(millis),
@@ -343,7 +358,6 @@
     let edge = &job.edge;
     let envelope = &job.request.envelope;
     let resumes = envelope.resumes.as_deref().unwrap_or_default();
-    let end = resumes.char_indices().nth(MAX_ID_CHARS);
     let source = match (&found.origin, version) {
         (Some((_, daemon)), _) => daemon.as_str(),
         (None, Some(_)) => "only_version",
@@ -351,7 +365,7 @@
     };
     log::info!(
         request:% = envelope.id,
-        resumes = end.map_or(resumes, |(end, _)| &resumes[..end]),
+        resumes = shortened(resumes),
         last_event = envelope.last_event,
         version = version.map(|version| edge.version_name(&job.request.service, version).to_string()),
         source,
