Select routes by the Host field and the path alone

Cause: the host came from actix-web's connection_info, which prefers those fields to Host; with an empty or unrouted Host they completed it, and without one (HTTP/1.0) so did an absolute target. The choice between route and profile read Host itself, so that the two could disagree. Ruled out: an absolute target beside a Host field.

RouteKey is now the only reader of host and path, for routes, profiles, the where command and logs; parse_host reads hosts of requests and of the configuration alike (case and port don't count). A Host that is missing, repeated or malformed gets 400; lists and user parts got 404 before.

Why it works: no other field is read any more.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -7,6 +7,7 @@
 mod auth;
 mod chat;
 mod errors;
+mod fields;
 mod gateway;
 mod headers;
 mod prompt;
@@ -17,6 +18,7 @@
 
 pub use aggregate::assemble_completion;
 pub use errors::{ErrorBody, ErrorDetail, status_of};
+pub use fields::{FieldError, single_value};
 pub use gateway::{
     AnswerStream, CallerAnswer, CallerRequest, Gateway, OriginalRequest, RelayedAnswer,
 };
--- a/crates/core/src/routing/config.rs
+++ b/crates/core/src/routing/config.rs
@@ -7,8 +7,8 @@
 
 use crate::admission::RequestRate;
 use crate::ids::{ConfigVersion, Region, ServiceId, WorkspaceId};
-use crate::routing::LoadBound;
 use crate::routing::route::Route;
+use crate::routing::{LoadBound, parse_host};
 
 value! {
     /// How many requests a target takes while it is cold.
@@ -67,7 +67,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RoutingConfig {
     version: ConfigVersion,
-    /// Invariant: sorted by host, then by prefix with the longest first.
+    /// Invariant: hosts are as [`parse_host`] returns them; sorted by host, then by prefix with the
+    /// longest first.
     routes: Vec<Rc<Route>>,
     /// Invariant: sorted by name.
     services: Vec<Service>,
@@ -90,6 +91,12 @@
         workspaces: Vec<KeyedWorkspace>,
         limits: CallerLimits,
     ) -> Self {
+        for route in &mut routes {
+            // Requests never name a malformed host, so that its routes match none.
+            if let Some(host) = parse_host(&route.host) {
+                route.host = host;
+            }
+        }
         routes.sort_by(|left, right| {
             let by_length = right.prefix.len().cmp(&left.prefix.len());
             left.host.cmp(&right.host).then(by_length)
@@ -122,7 +129,8 @@
         self.version
     }
 
-    /// Finds the route of `host` with the longest prefix that matches `path`.
+    /// Finds the route of `host`, as [`parse_host`] returns it, with the longest prefix that matches
+    /// `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let first = self
--- a/crates/edge/src/profiles/gateway.rs
+++ b/crates/edge/src/profiles/gateway.rs
@@ -110,11 +110,10 @@
 }
 
 fn report(edge: &Edge, request: &AdmittedRequest, refusal: &Refusal) {
-    let route_key = (request.host.as_str(), request.uri.path());
     report_refused(
         edge,
         &request.envelope.id,
-        route_key,
+        request.route_key(),
         request.received,
         refusal,
     );
--- a/crates/edge/src/profiles/mod.rs
+++ b/crates/edge/src/profiles/mod.rs
@@ -9,10 +9,9 @@
 mod ticket_owner;
 
 use actix_http::RequestHead;
-use actix_http::header;
 
 use crate::context::Edge;
-use crate::serve::host_name;
+use crate::serve::RouteKey;
 pub(crate) use gateway::gateway;
 pub use keys::KeyLease;
 
@@ -29,7 +28,6 @@
     let Some(config) = state.config.get() else {
         return true;
     };
-    let host = head.headers().get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    config.route(host_name(host), head.uri.path()).is_none()
+    // The requests that name no host are refused with those of routes.
+    RouteKey::of(head).is_ok_and(|key| key.route(config).is_none())
 }
--- a/crates/edge/src/serve/admitted_request.rs
+++ b/crates/edge/src/serve/admitted_request.rs
@@ -11,6 +11,7 @@
 use lapismoor_core::ids::{ConfigVersion, Region, ServiceId, WorkspaceId};
 use lapismoor_core::routing::{AffinityPreference, Homes, Route};
 
+use super::RouteKey;
 use crate::context::Edge;
 use crate::dialect::Envelope;
 
@@ -38,6 +39,11 @@
 }
 
 impl AdmittedRequest {
+    /// What selected the route.
+    pub(crate) fn route_key(&self) -> RouteKey<'_> {
+        RouteKey::new(&self.host, self.uri.path())
+    }
+
     /// Regions in which the request may be served.
     pub(crate) fn homes(&self) -> Homes<'_> {
         Homes {
--- a/crates/edge/src/serve/dry_run.rs
+++ b/crates/edge/src/serve/dry_run.rs
@@ -19,7 +19,7 @@
 use super::admitted_request::AdmittedRequest;
 use super::job::{ASKS_NO_PERMIT, first_query, overload_reason, permit_priority, permit_request};
 use super::run::refusal_without_target;
-use super::{authorize, find_workspace, priority};
+use super::{RouteKey, authorize, find_workspace, priority};
 use crate::admission::{PermitPreview, PermitRequest};
 use crate::context::Edge;
 use crate::dialect::Envelope;
@@ -299,7 +299,8 @@
         ..Envelope::default()
     };
     let workspace = query.workspace;
-    let authorized = authorize(edge, &query.host, &query.path, |config| match workspace {
+    let route_key = RouteKey::new(&query.host, &query.path);
+    let authorized = authorize(edge, route_key, |config| match workspace {
         None => find_workspace(edge, config, &envelope),
         Some(name) => {
             let workspace = config.workspace_named(&name).cloned();
@@ -315,7 +316,7 @@
     };
     Ok(AdmittedRequest {
         config_version: authorized.config.version(),
-        host: query.host,
+        host: route_key.host(),
         service,
         priority,
         workspace,
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod report;
 mod responses;
 mod resumption;
+mod route_key;
 mod run;
 mod stream_forwarder;
 mod suspicion;
@@ -28,6 +29,7 @@
 pub(crate) use attempt::BufferedAnswer;
 pub(crate) use job::Job;
 pub(crate) use report::refused as report_refused;
+pub(crate) use route_key::RouteKey;
 pub(crate) use run::{CRASHES_TARGETS, Outcome, run};
 pub(crate) use stream_forwarder::StreamForwarder;
 
@@ -39,8 +41,10 @@
 ) -> HttpResponse {
     let received = edge.now();
     let guard = CallerGuard::of(&edge, &request);
-    let envelope = match (edge.dialect.read_envelope)(request.headers()) {
-        Ok(envelope) => envelope,
+    let read = RouteKey::of(request.head());
+    let read = read.and_then(|key| Ok((key, (edge.dialect.read_envelope)(request.headers())?)));
+    let (route_key, envelope) = match read {
+        Ok(read) => read,
         Err(error) => {
             body::discard(&mut payload).await;
             return responses::malformed(&edge, &error);
@@ -48,12 +52,10 @@
     };
     guard.set_id(&envelope.id);
     edge.configuration_loaded().await;
-    let host = request.connection_info().host().to_owned();
     let find_workspace = |config: &RoutingConfig| find_workspace(&edge, config, &envelope);
-    let authorized = match authorize(&edge, &host, request.path(), find_workspace) {
+    let authorized = match authorize(&edge, route_key, find_workspace) {
         Ok(authorized) => authorized,
         Err(refusal) => {
-            let route_key = (host.as_str(), request.path());
             report::refused(&edge, &envelope.id, route_key, received, &refusal);
             body::discard(&mut payload).await;
             return responses::refused(&edge, &refusal);
@@ -71,7 +73,7 @@
     };
     let admitted_request = AdmittedRequest {
         config_version: authorized.config.version(),
-        host: host.into(),
+        host: route_key.host(),
         service: service(&authorized.route, &envelope),
         priority,
         workspace,
@@ -100,15 +102,14 @@
 /// Finds the route of a request, and the caller's workspace if the route needs a key.
 fn authorize(
     edge: &Edge,
-    host: &str,
-    path: &str,
+    route_key: RouteKey<'_>,
     find_workspace: impl FnOnce(&RoutingConfig) -> Result<Workspace, Refusal>,
 ) -> Result<Authorized, Refusal> {
     if !edge.accepts_requests() {
         return Err(Refusal::Stopping);
     }
     let config = edge.config().ok_or(Refusal::NoConfiguration)?;
-    let Some(route) = config.route(host_name(host), path) else {
+    let Some(route) = route_key.route(&config) else {
         return Err(edge.unless_stale(Refusal::NoRoute));
     };
     let route = Rc::clone(route);
@@ -199,11 +200,6 @@
     }
 }
 
-/// Strips the port from a `Host` header.
-pub(crate) fn host_name(host: &str) -> &str {
-    host.split_once(':').map_or(host, |(name, _)| name)
-}
-
 /// Hash of a request id, for choices that must be even over requests and equal on all daemons.
 fn request_hash(id: &str) -> u64 {
     hash_parts(&[id.as_bytes()])
--- a/crates/edge/src/serve/report.rs
+++ b/crates/edge/src/serve/report.rs
@@ -10,6 +10,7 @@
 use lapismoor_core::retry::{NextStep, Obstacle};
 use lapismoor_core::routing::{Choice, shared_prompt_parts};
 
+use super::RouteKey;
 use super::attempt::{BufferedAnswer, FailedAttempt};
 use super::job::{Job, Subject};
 use super::run::CRASHES_TARGETS;
@@ -34,7 +35,7 @@
     if matches!(refusal, Refusal::CrashesTargets { .. }) {
         suspect_refused(job);
     }
-    let route_key = (job.request.host.as_str(), job.request.uri.path());
+    let route_key = job.request.route_key();
     refused(&job.edge, id, route_key, job.request.received, refusal);
 }
 
@@ -160,15 +161,15 @@
 pub(crate) fn refused(
     edge: &Edge,
     id: &CompactString,
-    (host, path): (&str, &str),
+    route_key: RouteKey<'_>,
     received: Moment,
     refusal: &Refusal,
 ) {
     edge.metrics.count_refused(refusal.name());
     log::warn!(
         request:% = id,
-        host = shortened(host),
-        path = shortened(path),
+        host = shortened(&route_key.host()),
+        path = shortened(route_key.path()),
         reason = refusal.name(),
         status = refusal.status(),
         come_back_ms = refusal.retry_after().map(millis),
