--- a/crates/caller/src/auth.rs
+++ b/crates/caller/src/auth.rs
@@ -38,8 +38,7 @@
         );
         return Err(errors::response(&failure, &trace.trace_id).into());
     };
-    let key = request.headers().get("authorization");
-    let key = key.and_then(|value| value.to_str().ok());
+    let key = headers::text(request, "authorization", &trace)?;
     let key = key.and_then(|value| value.strip_prefix("Bearer "));
     let workspace = key.and_then(|key| accepted.config.workspace_of_key(&key_hash(key)));
     let Some(workspace) = workspace.cloned() else {
--- a/crates/caller/src/chat.rs
+++ b/crates/caller/src/chat.rs
@@ -106,7 +106,7 @@
         pool.is_some_and(|pool| pool.kind == PoolKind::Engines)
     };
     let mut profiles = config.profiles.iter().filter(is_chat);
-    let found = if let Some(name) = headers::text(request, headers::PROFILE) {
+    let found = if let Some(name) = headers::text(request, headers::PROFILE, trace)? {
         profiles.find(|profile| profile.name == name)
     } else {
         match &document["model"] {
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -4,11 +4,13 @@
 
 use actix_web::HttpRequest;
 use actix_web::http::StatusCode;
+use actix_web::http::header::HeaderName;
 use compact_str::CompactString;
 use lapismoor_core::config::Profile;
 use lapismoor_core::request::Identity;
 
 use crate::errors::{self, Rejection};
+use crate::fields::single_value;
 use crate::trace::TraceContext;
 
 /// Name of the profile to run the request under.
@@ -24,9 +26,15 @@
 /// Limit for an idempotency key or chat id.
 const MAX_ID_BYTES: usize = 256;
 
-/// Returns the value of a header; `None` if it is absent or not visible ASCII.
-pub(crate) fn text<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
-    request.headers().get(name)?.to_str().ok()
+/// Returns the value of a header; `None` if it is absent. Rejects a request whose value is not text, or
+/// one of several.
+pub(crate) fn text<'a>(
+    request: &'a HttpRequest,
+    name: &'static str,
+    trace: &TraceContext,
+) -> Result<Option<&'a str>, Rejection> {
+    let value = single_value(request.headers(), HeaderName::from_static(name));
+    value.map_err(|error| bad_request(&format!("{name} is {error}; send it once"), trace))
 }
 
 /// Rejects a request whose header names and values exceed `max_bytes` in total.
@@ -53,7 +61,7 @@
     profile: &Profile,
     trace: &TraceContext,
 ) -> Result<Duration, Rejection> {
-    let Some(value) = text(request, DEADLINE_MS) else {
+    let Some(value) = text(request, DEADLINE_MS, trace)? else {
         return Ok(Duration::from_millis(profile.deadline_ms));
     };
     let requested_ms = value.parse().ok().filter(|ms| *ms > 0);
@@ -68,7 +76,9 @@
 
 /// Reads the ticket or idempotency key.
 pub(crate) fn identity(request: &HttpRequest, trace: &TraceContext) -> Result<Identity, Rejection> {
-    match (text(request, TICKET), text(request, IDEMPOTENCY_KEY)) {
+    let ticket = text(request, TICKET, trace)?;
+    let key = text(request, IDEMPOTENCY_KEY, trace)?;
+    match (ticket, key) {
         (None, None) => Ok(Identity::None),
         (Some(_), Some(_)) => Err(bad_request(
             "send x-ticket or idempotency-key, not both",
@@ -95,7 +105,7 @@
     request: &HttpRequest,
     trace: &TraceContext,
 ) -> Result<Option<CompactString>, Rejection> {
-    match text(request, CHAT_ID) {
+    match text(request, CHAT_ID, trace)? {
         Some(id) if id.len() > MAX_ID_BYTES => {
             Err(bad_request("x-chat-id takes up to 256 bytes", trace))
         }
--- a/crates/caller/src/services.rs
+++ b/crates/caller/src/services.rs
@@ -55,7 +55,7 @@
         deadline: headers::deadline(request, profile, &trace)?,
         idempotent: pool.is_idempotent(method, path),
         replayable: false,
-        content_type: content_type(request),
+        content_type: content_type(request, &trace)?,
         body,
         traceparent: Some(trace.header()),
     };
@@ -89,7 +89,7 @@
         .profiles
         .iter()
         .filter(|profile| profile.pool == pool.name);
-    let found = match headers::text(request, headers::PROFILE) {
+    let found = match headers::text(request, headers::PROFILE, trace)? {
         Some(name) => profiles.find(|profile| profile.name == name),
         None => profiles.next(),
     };
@@ -106,8 +106,7 @@
     compact_str::format_compact!("{path}?{query}")
 }
 
-fn content_type(request: &HttpRequest) -> CompactString {
-    headers::text(request, "content-type")
-        .unwrap_or("application/octet-stream")
-        .into()
+fn content_type(request: &HttpRequest, trace: &TraceContext) -> Result<CompactString, Rejection> {
+    let named = headers::text(request, "content-type", trace)?;
+    Ok(named.unwrap_or("application/octet-stream").into())
 }
--- a/crates/caller/tests/http.rs
+++ b/crates/caller/tests/http.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_web::dev::ServiceResponse;
+use actix_web::http::header::HeaderValue;
 use actix_web::http::{Method, StatusCode};
 use actix_web::test::{TestRequest, call_service, init_service, read_body};
 use actix_web::{App, web};
@@ -150,6 +151,37 @@
     assert!(submitted.is_empty());
 }
 
+/// Guards against a header that is read as absent, or in one of its values, so that a request which must
+/// not run twice runs again.
+#[test_case("idempotency-key", &[b"k-\xc3\xa9"]; "idempotency key that is not text")]
+#[test_case("idempotency-key", &[b"k-1", b"k-2"]; "two idempotency keys")]
+#[test_case("x-ticket", &[b"\xff"]; "ticket that is not text")]
+#[test_case("x-deadline-ms", &[b"10", b"20"]; "two deadlines")]
+#[test_case("x-profile", &[b"shop-counter", b"other"]; "two profiles")]
+#[test_case("x-chat-id", &[b"\xff"]; "chat that is not text")]
+#[test_case("authorization", &[b"Bearer other"]; "two keys")]
+fn unreadable_headers_are_rejected(name: &'static str, values: &[&[u8]]) {
+    let mut request = chat(BODY);
+    if name == "x-profile" {
+        request = TestRequest::post()
+            .uri("/v1/chat/completions")
+            .insert_header(("authorization", KEY))
+            .set_payload(BODY);
+    }
+    for value in values {
+        let value = HeaderValue::from_bytes(value).expect("a field value");
+        request = request.append_header((name, value));
+    }
+    let (received, submitted) = send(complete_chat(), request);
+    assert_eq!(
+        received.status,
+        StatusCode::BAD_REQUEST,
+        "{}",
+        received.body
+    );
+    assert!(submitted.is_empty());
+}
+
 #[test]
 fn a_streamed_chat_is_forwarded_unchanged() {
     let body = r#"{"stream":true,"messages":[]}"#;
