--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -1,19 +1,25 @@
 //! Turns the daemon's answers into HTTP responses.
 
+use std::pin::pin;
+
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
 use bytes::Bytes;
+use futures::future::{Either, select};
 use lapismoor_core::answer::AnswerPart;
 use lapismoor_core::failure::{Failure, FailureKind};
 use serde_json::json;
 
 use crate::errors;
-use crate::gateway::{AnswerParts, CallerAnswer, RelayedAnswer};
+use crate::gateway::{AnswerMemory, AnswerParts, CallerAnswer, RelayedAnswer};
 use crate::trace::TraceContext;
 
 /// Media type of server-sent events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Longest answer that is collected, in bytes.
+const MAX_COLLECTED_BYTES: usize = 8 << 20;
+
 /// Streams an answer to the caller as its parts arrive.
 pub(crate) async fn stream_response(mut parts: AnswerParts, trace: TraceContext) -> HttpResponse {
     match parts.next().await {
@@ -88,14 +94,28 @@
     Relayed(HttpResponse),
 }
 
-/// Buffers an answer until it is complete.
-pub(crate) async fn collect(mut parts: AnswerParts) -> Result<Collected, Failure> {
+/// Buffers an answer until it is complete. Gives it up if it is too long, or if memory is short.
+pub(crate) async fn collect(
+    mut parts: AnswerParts,
+    mut memory: AnswerMemory,
+) -> Result<Collected, Failure> {
     let mut status = StatusCode::OK.as_u16();
     let mut body = Vec::new();
     loop {
-        match parts.next().await {
+        let next = pin!(parts.next());
+        let part = match select(&mut memory.revoked, next).await {
+            Either::Left(_) => return Err(answer_cut()),
+            Either::Right((part, _)) => part,
+        };
+        match part {
             Some(CallerAnswer::Part(AnswerPart::Head { status: head, .. })) => status = head,
-            Some(CallerAnswer::Part(AnswerPart::Data(bytes))) => body.extend_from_slice(&bytes),
+            Some(CallerAnswer::Part(AnswerPart::Data(bytes))) => {
+                let is_short = body.len() + bytes.len() <= MAX_COLLECTED_BYTES;
+                if !is_short || !(memory.reserve)(bytes.len()).await {
+                    return Err(answer_cut());
+                }
+                body.extend_from_slice(&bytes);
+            }
             Some(CallerAnswer::Part(AnswerPart::End)) => {
                 return Ok(Collected::Answer(status, Bytes::from(body)));
             }
--- a/crates/caller/src/chat.rs
+++ b/crates/caller/src/chat.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use actix_web::http::StatusCode;
-use actix_web::{Error, HttpRequest, HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use lapismoor_core::config::{Config, PoolKind, Profile};
 use lapismoor_core::request::{Request, Work};
@@ -12,7 +12,9 @@
 use crate::answer::Collected;
 use crate::auth::{self, Authenticated};
 use crate::errors::Rejection;
-use crate::gateway::{AnswerParts, CallerRequest, Gateway, OriginalRequest};
+use crate::gateway::{
+    AnswerMemory, AnswerParts, BodyProblem, CallerRequest, Gateway, OriginalRequest,
+};
 use crate::trace::TraceContext;
 use crate::{aggregate, answer, errors, headers, prompt};
 
@@ -38,11 +40,15 @@
 pub(crate) async fn completions(
     gateway: web::Data<Gateway>,
     request: HttpRequest,
-    body: Result<web::Bytes, Error>,
+    payload: web::Payload,
 ) -> HttpResponse {
+    let body = (gateway.read_body)(&request, payload).await;
     match submit(&gateway, &request, body) {
         Ok(chat) if chat.is_streaming => answer::stream_response(chat.parts, chat.trace).await,
-        Ok(chat) => complete_response(chat.parts, &chat.trace).await,
+        Ok(chat) => {
+            let memory = (gateway.open_memory)();
+            complete_response(chat.parts, memory, &chat.trace).await
+        }
         Err(rejection) => rejection.into_response(),
     }
 }
@@ -57,7 +63,7 @@
 fn submit(
     gateway: &Gateway,
     request: &HttpRequest,
-    body: Result<web::Bytes, Error>,
+    body: Result<Bytes, BodyProblem>,
 ) -> Result<SubmittedChat, Rejection> {
     let caller = auth::authenticate(gateway, request)?;
     let trace = caller.trace.clone();
@@ -157,8 +163,12 @@
 }
 
 /// Buffers the answer and responds with one completion instead of a stream.
-async fn complete_response(parts: AnswerParts, trace: &TraceContext) -> HttpResponse {
-    let (status, events) = match answer::collect(parts).await {
+async fn complete_response(
+    parts: AnswerParts,
+    memory: AnswerMemory,
+    trace: &TraceContext,
+) -> HttpResponse {
+    let (status, events) = match answer::collect(parts, memory).await {
         Ok(Collected::Answer(status, events)) => (status, events),
         Ok(Collected::Relayed(response)) => return response,
         Err(failure) => return errors::response(&failure, &trace.trace_id),
--- a/crates/caller/src/errors.rs
+++ b/crates/caller/src/errors.rs
@@ -40,6 +40,7 @@
             StatusCode::BAD_GATEWAY
         }
         FailureKind::QueueFull
+        | FailureKind::MemoryFull
         | FailureKind::DeadlineUnmeetable
         | FailureKind::NoTarget
         | FailureKind::Stopping
--- a/crates/caller/src/gateway.rs
+++ b/crates/caller/src/gateway.rs
@@ -8,6 +8,7 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use futures::StreamExt;
+use futures::future::LocalBoxFuture;
 use futures::stream::LocalBoxStream;
 use lapismoor_core::answer::AnswerPart;
 use lapismoor_core::config::Accepted;
@@ -88,6 +89,29 @@
 /// disconnected.
 pub type AnswerStream = LocalBoxStream<'static, CallerAnswer>;
 
+/// Why the body of a request was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyProblem {
+    /// It exceeds the limit.
+    TooLarge,
+    /// The connection failed before its end.
+    CutOff,
+    /// The memory for the bodies of requests is used up.
+    NoMemory,
+}
+
+/// Reads the body of a request into memory that the daemon counts while the request is in flight.
+pub type ReadBody =
+    dyn Fn(&HttpRequest, web::Payload) -> LocalBoxFuture<'static, Result<Bytes, BodyProblem>>;
+
+/// Memory for an answer that is collected before it is sent; counted by the daemon until dropped.
+pub struct AnswerMemory {
+    /// Reserves more bytes; false if there is no room, so that the answer has to be given up.
+    pub reserve: Box<dyn Fn(usize) -> LocalBoxFuture<'static, bool>>,
+    /// Completes when the answer has to be given up in favour of others.
+    pub revoked: LocalBoxFuture<'static, ()>,
+}
+
 /// Passes a request to the daemon.
 pub type Submit = dyn Fn(&HttpRequest, CallerRequest) -> AnswerStream;
 
@@ -101,6 +125,10 @@
     pub config: Rc<dyn Fn() -> Option<Arc<Accepted>>>,
     /// Whether the daemon accepts new requests, as reported by the health check.
     pub is_ready: Rc<dyn Fn() -> bool>,
+    /// Reads bodies of requests.
+    pub read_body: Rc<ReadBody>,
+    /// Opens the memory for an answer.
+    pub open_memory: Rc<dyn Fn() -> AnswerMemory>,
     /// Passes a request to the daemon, with the HTTP request that carries the server's data about it.
     pub submit: Rc<Submit>,
 }
--- a/crates/caller/src/headers.rs
+++ b/crates/caller/src/headers.rs
@@ -5,12 +5,15 @@
 use actix_web::HttpRequest;
 use actix_web::http::StatusCode;
 use actix_web::http::header::HeaderName;
+use bytes::Bytes;
 use compact_str::CompactString;
 use lapismoor_core::config::Profile;
+use lapismoor_core::failure::{Failure, FailureKind, NotRunProof};
 use lapismoor_core::request::Identity;
 
 use crate::errors::{self, Rejection};
 use crate::fields::single_value;
+use crate::gateway::BodyProblem;
 use crate::trace::TraceContext;
 
 /// Name of the profile to run the request under.
@@ -26,6 +29,9 @@
 /// Limit for an idempotency key or chat id.
 const MAX_ID_BYTES: usize = 256;
 
+/// Delay before a retry of a request for whose body there was no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// Returns the value of a header; `None` if it is absent. Rejects a request whose value is not text, or
 /// one of several.
 pub(crate) fn text<'a>(
@@ -120,16 +126,20 @@
 
 /// Unwraps the body, or rejects the request if it was too large or could not be read.
 pub(crate) fn body(
-    body: Result<actix_web::web::Bytes, actix_web::Error>,
+    body: Result<Bytes, BodyProblem>,
     trace: &TraceContext,
-) -> Result<actix_web::web::Bytes, Rejection> {
-    body.map_err(|error| {
-        let status = error.as_response_error().status_code();
-        let message = if status == StatusCode::PAYLOAD_TOO_LARGE {
-            "the body is too large; send a shorter one"
-        } else {
-            "the body could not be read; send it whole"
-        };
-        errors::reject(status, message, &trace.trace_id)
+) -> Result<Bytes, Rejection> {
+    body.map_err(|problem| match problem {
+        BodyProblem::TooLarge => errors::reject(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large; send a shorter one",
+            &trace.trace_id,
+        ),
+        BodyProblem::CutOff => bad_request("the body could not be read; send it whole", trace),
+        BodyProblem::NoMemory => {
+            let (proof, kind) = (NotRunProof::NeverAccepted, FailureKind::MemoryFull);
+            let failure = Failure::not_run(proof, kind, Some(MEMORY_RETRY_AFTER));
+            errors::response(&failure, &trace.trace_id).into()
+        }
     })
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -20,7 +20,8 @@
 pub use errors::{ErrorBody, ErrorDetail, status_of};
 pub use fields::{FieldError, single_value};
 pub use gateway::{
-    AnswerStream, CallerAnswer, CallerRequest, Gateway, OriginalRequest, RelayedAnswer,
+    AnswerMemory, AnswerStream, BodyProblem, CallerAnswer, CallerRequest, Gateway, OriginalRequest,
+    RelayedAnswer,
 };
 pub use settings::CallerSettings;
 pub use trace::TraceContext;
--- a/crates/caller/src/services.rs
+++ b/crates/caller/src/services.rs
@@ -2,14 +2,15 @@
 
 use std::rc::Rc;
 
-use actix_web::{Error, HttpRequest, HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::Bytes;
 use compact_str::CompactString;
 use lapismoor_core::config::{Config, Pool, PoolKind, Profile};
 use lapismoor_core::request::{Request, Work};
 
 use crate::auth;
 use crate::errors::Rejection;
-use crate::gateway::{AnswerParts, CallerRequest, Gateway, OriginalRequest};
+use crate::gateway::{AnswerParts, BodyProblem, CallerRequest, Gateway, OriginalRequest};
 use crate::trace::TraceContext;
 use crate::{answer, headers};
 
@@ -18,8 +19,9 @@
     gateway: web::Data<Gateway>,
     request: HttpRequest,
     path: web::Path<(String, String)>,
-    body: Result<web::Bytes, Error>,
+    payload: web::Payload,
 ) -> HttpResponse {
+    let body = (gateway.read_body)(&request, payload).await;
     let (service, path) = path.into_inner();
     match submit(&gateway, &request, &service, &path, body) {
         Ok((parts, trace)) => answer::stream_response(parts, trace).await,
@@ -32,7 +34,7 @@
     request: &HttpRequest,
     service: &str,
     path: &str,
-    body: Result<web::Bytes, Error>,
+    body: Result<Bytes, BodyProblem>,
 ) -> Result<(AnswerParts, TraceContext), Rejection> {
     let caller = auth::authenticate(gateway, request)?;
     let trace = caller.trace.clone();
--- a/crates/caller/tests/http.rs
+++ b/crates/caller/tests/http.rs
@@ -11,9 +11,10 @@
 use actix_web::test::{TestRequest, call_service, init_service, read_body};
 use actix_web::{App, web};
 use bytes::Bytes;
-use futures::StreamExt;
+use futures::{FutureExt, StreamExt};
 use lapismoor_caller::{
-    CallerAnswer, CallerRequest, CallerSettings, Gateway, RelayedAnswer, routes,
+    AnswerMemory, BodyProblem, CallerAnswer, CallerRequest, CallerSettings, Gateway, RelayedAnswer,
+    routes,
 };
 use lapismoor_core::answer::AnswerPart;
 use lapismoor_core::config::{Accepted, Config};
@@ -45,6 +46,18 @@
         },
         config: Rc::new(move || Some(Arc::clone(&accepted))),
         is_ready: Rc::new(|| true),
+        read_body: Rc::new(|_, payload| {
+            let reading = payload.to_bytes_limited(1_000);
+            async move {
+                let read = reading.await.map_err(|_| BodyProblem::TooLarge)?;
+                read.map_err(|_| BodyProblem::CutOff)
+            }
+            .boxed_local()
+        }),
+        open_memory: Rc::new(|| AnswerMemory {
+            reserve: Box::new(|_| std::future::ready(true).boxed_local()),
+            revoked: std::future::pending().boxed_local(),
+        }),
         submit: Rc::new(move |_, request| {
             submitted.borrow_mut().push(request);
             futures::stream::iter(answers.clone()).boxed_local()
--- /dev/null
+++ b/crates/core/src/admission/buffer_budget.rs
@@ -0,0 +1,292 @@
+//! Bounds the memory in which requests or answers are buffered, for all of them together.
+//!
+//! Load pattern: faulty targets send bytes without end to many requests at once, or callers don't read
+//! their answers. Each buffer is bounded, but their sum would exceed the memory of the VM, and all
+//! requests would end with the process. When the budget is used up, the group that holds most gives
+//! way, and the group that holds least is served first, so that the buffers of other services go on.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+
+use crate::clock::Moment;
+
+/// Time without progress after which a caller that doesn't read loses its answer if memory is short.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// Identifies a buffer at its budget.
+pub type BufferId = u64;
+
+value! {
+    /// Whose buffer it is.
+    #[derive(PartialOrd, Ord)]
+    pub struct BufferOwner {
+        /// The service whose answer, or the workspace whose request, is buffered.
+        pub group: CompactString,
+        /// Tells the members of a group apart: its targets.
+        pub member: u64,
+    }
+
+    /// State of a buffer.
+    #[derive(Copy)]
+    enum BufferState {
+        /// Bytes are still received.
+        Receiving,
+        /// All bytes were received; the receiver took some at this time.
+        Delivering(Moment),
+        /// All bytes were received and are in use.
+        Held,
+        /// It gives way and is about to be closed.
+        Evicted,
+    }
+
+    /// The memory of one request.
+    struct Buffer {
+        id: BufferId,
+        owner: BufferOwner,
+        bytes: usize,
+        /// Bytes that it waits for.
+        awaited_bytes: usize,
+        state: BufferState,
+    }
+
+    /// Result of [`BufferBudget::reserve`].
+    pub enum Reservation {
+        /// The bytes are counted.
+        Granted,
+        /// Other buffers give way, or are delivered soon. The bytes are granted when they are closed.
+        Wait {
+            /// The buffers that were evicted for this one.
+            evicted: Vec<BufferId>,
+        },
+        /// The buffer itself has to give way.
+        Refused,
+    }
+}
+
+/// Counts the bytes that are buffered.
+#[derive(Debug, Clone)]
+pub struct BufferBudget {
+    limit_bytes: usize,
+    /// Invariant: the sum of all buffers; at most `limit_bytes`.
+    used_bytes: usize,
+    /// Invariant: the sum of the evicted buffers.
+    evicted_bytes: usize,
+    last_id: BufferId,
+    /// Invariant: sorted by id.
+    buffers: Vec<Buffer>,
+}
+
+impl BufferBudget {
+    /// A budget of `limit_bytes` for all buffers together.
+    #[must_use]
+    pub fn new(limit_bytes: usize) -> Self {
+        Self {
+            limit_bytes,
+            used_bytes: 0,
+            evicted_bytes: 0,
+            last_id: 0,
+            buffers: Vec::new(),
+        }
+    }
+
+    /// Bytes of all buffers.
+    #[must_use]
+    pub fn used_bytes(&self) -> usize {
+        self.used_bytes
+    }
+
+    /// Limit of all buffers together, in bytes.
+    #[must_use]
+    pub fn limit_bytes(&self) -> usize {
+        self.limit_bytes
+    }
+
+    /// Adds an empty buffer.
+    pub fn open(&mut self, owner: BufferOwner) -> BufferId {
+        self.last_id += 1;
+        self.buffers.push(Buffer {
+            id: self.last_id,
+            owner,
+            bytes: 0,
+            awaited_bytes: 0,
+            state: BufferState::Receiving,
+        });
+        self.last_id
+    }
+
+    /// Counts `additional_bytes` more of a buffer, if there is room. Otherwise the largest buffer gives way
+    /// of the member, and the group, that hold most.
+    pub fn reserve(&mut self, now: Moment, id: BufferId, additional_bytes: usize) -> Reservation {
+        let Some(position) = self.position(id) else {
+            return Reservation::Refused;
+        };
+        let own_bytes = self.buffers[position].bytes + additional_bytes;
+        if self.buffers[position].state == BufferState::Evicted || own_bytes > self.limit_bytes {
+            return Reservation::Refused;
+        }
+        self.buffers[position].awaited_bytes = additional_bytes;
+        if self.next_waiting() == Some(position) && additional_bytes <= self.free_bytes() {
+            self.grant_to(position);
+            return Reservation::Granted;
+        }
+        let mut evicted = Vec::new();
+        while self.free_bytes() + self.evicted_bytes < additional_bytes {
+            match self.victim(now) {
+                Some(victim) if victim != position => {
+                    self.buffers[victim].state = BufferState::Evicted;
+                    self.buffers[victim].awaited_bytes = 0;
+                    self.evicted_bytes += self.buffers[victim].bytes;
+                    evicted.push(self.buffers[victim].id);
+                }
+                _ if evicted.is_empty() && self.evicted_bytes == 0 && !self.is_delivering() => {
+                    self.buffers[position].awaited_bytes = 0;
+                    return Reservation::Refused;
+                }
+                _ => break,
+            }
+        }
+        Reservation::Wait { evicted }
+    }
+
+    /// Grants the bytes that buffers wait for, those of the group that holds least first, as long as there
+    /// is room. Returns the buffers that got theirs.
+    #[must_use]
+    pub fn grant(&mut self) -> Vec<BufferId> {
+        let mut granted = Vec::new();
+        while let Some(position) = self.next_waiting() {
+            if self.buffers[position].awaited_bytes > self.free_bytes() {
+                break;
+            }
+            self.grant_to(position);
+            granted.push(self.buffers[position].id);
+        }
+        granted
+    }
+
+    /// Gives back bytes of a buffer.
+    pub fn release(&mut self, id: BufferId, bytes: usize) {
+        if let Some(position) = self.position(id) {
+            let released_bytes = bytes.min(self.buffers[position].bytes);
+            self.buffers[position].bytes -= released_bytes;
+            self.used_bytes -= released_bytes;
+            if self.buffers[position].state == BufferState::Evicted {
+                self.evicted_bytes -= released_bytes;
+            }
+        }
+    }
+
+    /// Records that all bytes of a buffer were received and are in use, so that it doesn't give way.
+    pub fn hold(&mut self, id: BufferId) {
+        if let Some(position) = self.position(id)
+            && self.buffers[position].state != BufferState::Evicted
+        {
+            self.buffers[position].state = BufferState::Held;
+        }
+    }
+
+    /// Whose buffer it is.
+    #[must_use]
+    pub fn owner(&self, id: BufferId) -> Option<&BufferOwner> {
+        let position = self.position(id)?;
+        Some(&self.buffers[position].owner)
+    }
+
+    /// Bytes of a buffer; zero if it is closed.
+    #[must_use]
+    pub fn bytes_of(&self, id: BufferId) -> usize {
+        let position = self.position(id);
+        position.map_or(0, |position| self.buffers[position].bytes)
+    }
+
+    /// Records that all bytes of a buffer were received, or that the receiver took some of them.
+    pub fn record_progress(&mut self, now: Moment, id: BufferId) {
+        if let Some(position) = self.position(id)
+            && self.buffers[position].state != BufferState::Evicted
+        {
+            self.buffers[position].state = BufferState::Delivering(now);
+        }
+    }
+
+    /// Removes a buffer whose memory was freed.
+    pub fn close(&mut self, id: BufferId) {
+        if let Some(position) = self.position(id) {
+            let closed = self.buffers.remove(position);
+            self.used_bytes -= closed.bytes;
+            if closed.state == BufferState::Evicted {
+                self.evicted_bytes -= closed.bytes;
+            }
+        }
+    }
+
+    fn position(&self, id: BufferId) -> Option<usize> {
+        self.buffers
+            .binary_search_by_key(&id, |buffer| buffer.id)
+            .ok()
+    }
+
+    fn grant_to(&mut self, position: usize) {
+        let buffer = &mut self.buffers[position];
+        let granted_bytes = std::mem::take(&mut buffer.awaited_bytes);
+        buffer.bytes += granted_bytes;
+        self.used_bytes += granted_bytes;
+    }
+
+    fn free_bytes(&self) -> usize {
+        self.limit_bytes - self.used_bytes
+    }
+
+    /// Position of the waiting buffer whose group, and which itself, holds least.
+    fn next_waiting(&self) -> Option<usize> {
+        let is_waiting = |buffer: &&Buffer| buffer.awaited_bytes > 0;
+        self.buffers.iter().find(is_waiting)?;
+        let groups = sums(
+            self.buffers
+                .iter()
+                .map(|buffer| (&buffer.owner.group, buffer.bytes)),
+        );
+        let group_bytes = |buffer: &Buffer| {
+            let mut groups = groups.iter();
+            let own = groups.find(|(group, _)| **group == buffer.owner.group);
+            own.map_or(0, |(_, bytes)| *bytes)
+        };
+        let waiting = self.buffers.iter().filter(is_waiting);
+        let next = waiting.min_by_key(|buffer| (group_bytes(buffer), buffer.bytes))?;
+        self.position(next.id)
+    }
+
+    fn is_delivering(&self) -> bool {
+        let is_delivering = |buffer: &Buffer| matches!(buffer.state, BufferState::Delivering(_));
+        self.buffers.iter().any(is_delivering)
+    }
+
+    /// Position of the buffer that gives way next.
+    fn victim(&self, now: Moment) -> Option<usize> {
+        let may_give_way = |buffer: &&Buffer| match buffer.state {
+            BufferState::Receiving => buffer.bytes > 0,
+            BufferState::Delivering(since) => now.saturating_sub(since) >= STALL_TIME,
+            BufferState::Held | BufferState::Evicted => false,
+        };
+        let candidates = || self.buffers.iter().filter(may_give_way);
+        let groups = sums(candidates().map(|buffer| (&buffer.owner.group, buffer.bytes)));
+        let (group, _) = groups.into_iter().max_by_key(|(_, bytes)| *bytes)?;
+        let members = || candidates().filter(|buffer| buffer.owner.group == *group);
+        let by_member = sums(members().map(|buffer| (buffer.owner.member, buffer.bytes)));
+        let (member, _) = by_member.into_iter().max_by_key(|(_, bytes)| *bytes)?;
+        let own = members().filter(|buffer| buffer.owner.member == member);
+        let largest = own.max_by_key(|buffer| buffer.bytes)?;
+        self.position(largest.id)
+    }
+}
+
+/// The sums of bytes by key.
+fn sums<K: PartialEq>(parts: impl Iterator<Item = (K, usize)>) -> Vec<(K, usize)> {
+    let mut sums: Vec<(K, usize)> = Vec::new();
+    for (key, bytes) in parts {
+        match sums.iter_mut().find(|(known, _)| *known == key) {
+            Some((_, sum)) => *sum += bytes,
+            None => sums.push((key, bytes)),
+        }
+    }
+    sums
+}
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -1,6 +1,7 @@
 //! Admission of requests: limits, queues, bans and the reasons for a refusal.
 
 pub mod answer_times;
+pub mod buffer_budget;
 pub mod cost;
 pub mod cost_gate;
 pub mod flight_limit;
@@ -18,6 +19,7 @@
 pub mod workspaces;
 
 pub use answer_times::AnswerTimes;
+pub use buffer_budget::{BufferBudget, BufferId, BufferOwner, Reservation};
 pub use cost::{Prospect, RequestNeed};
 pub use cost_gate::CostGate;
 pub use flight_limit::{gate_limits, room_limits};
--- a/crates/core/src/admission/refusal.rs
+++ b/crates/core/src/admission/refusal.rs
@@ -65,6 +65,8 @@
             /// Time left until the ban ends.
             banned_for: Duration,
         },
+        /// The memory for the bodies of requests is used up.
+        MemoryFull,
         /// The daemon is shutting down.
         Stopping,
     }
@@ -92,6 +94,7 @@
             Self::QueueFull { .. } => "queue_full",
             Self::WorkspaceLimit { .. } => "workspace_limit",
             Self::CrashesTargets { .. } => "crashes_targets",
+            Self::MemoryFull => "memory_full",
             Self::Stopping => "stopping",
         }
     }
@@ -120,7 +123,9 @@
             | Self::WorkspaceLimit { retry_after } => Some(*retry_after),
             Self::CrashesTargets { banned_for } => Some(*banned_for),
             Self::Stopping => Some(Duration::ZERO),
-            Self::Busy | Self::Unreachable | Self::StaleConfiguration => Some(SHORT_RETRY_AFTER),
+            Self::Busy | Self::Unreachable | Self::StaleConfiguration | Self::MemoryFull => {
+                Some(SHORT_RETRY_AFTER)
+            }
             Self::NoConfiguration | Self::NoTarget | Self::NoHomeTarget | Self::Evacuated => {
                 Some(LONG_RETRY_AFTER)
             }
--- a/crates/core/src/failure.rs
+++ b/crates/core/src/failure.rs
@@ -34,6 +34,8 @@
         WorkspaceLimit,
         /// The queue is full, and no queued request is less urgent.
         QueueFull,
+        /// The memory for requests is used up.
+        MemoryFull,
         /// The deadline cannot be met.
         DeadlineUnmeetable,
         /// The deadline passed.
@@ -108,6 +110,7 @@
                 "the workspace reached its limit; slow down, or ask the operator to raise it"
             }
             Self::QueueFull => "the pool's queue is full; come back after the stated time",
+            Self::MemoryFull => "the daemon has no room for the body; come back later",
             Self::DeadlineUnmeetable => {
                 "the deadline cannot be met; come back later or allow more time"
             }
--- a/crates/core/src/stream/events.rs
+++ b/crates/core/src/stream/events.rs
@@ -39,6 +39,16 @@
         !self.pending.is_empty()
     }
 
+    /// Capacity of the buffer of an incomplete event, in bytes; zero if there is none.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        if self.pending.is_empty() {
+            0
+        } else {
+            self.pending.capacity()
+        }
+    }
+
     /// Discards the bytes of an incomplete event, which the resumed stream sends again.
     pub fn discard_partial_event(&mut self) {
         self.pending.clear();
--- /dev/null
+++ b/crates/core/tests/buffer_budget.rs
@@ -0,0 +1,207 @@
+//! Which buffers give way when the memory for them is used up.
+
+use std::time::Duration;
+
+use lapismoor_core::Moment;
+use lapismoor_core::admission::{BufferBudget, BufferId, BufferOwner, Reservation};
+use test_case::test_case;
+
+const MEBIBYTE: usize = 1 << 20;
+const LIMIT_BYTES: usize = 64 * MEBIBYTE;
+const START: Moment = Duration::from_secs(100);
+
+fn owner(group: &str, member: u64) -> BufferOwner {
+    BufferOwner {
+        group: group.into(),
+        member,
+    }
+}
+
+fn open(budget: &mut BufferBudget, group: &str, member: u64, bytes: usize) -> BufferId {
+    let id = budget.open(owner(group, member));
+    assert_eq!(budget.reserve(START, id, bytes), Reservation::Granted);
+    id
+}
+
+/// Reserves like a reader: waits for the buffers that give way to be closed.
+fn reserve_or_evict(
+    budget: &mut BufferBudget,
+    id: BufferId,
+    bytes: usize,
+) -> (bool, Vec<BufferId>) {
+    match budget.reserve(START, id, bytes) {
+        Reservation::Granted => (true, Vec::new()),
+        Reservation::Refused => (false, Vec::new()),
+        Reservation::Wait { evicted } => {
+            assert!(!evicted.is_empty(), "nothing gives way");
+            for victim in &evicted {
+                budget.close(*victim);
+            }
+            (budget.grant() == [id], evicted)
+        }
+    }
+}
+
+/// Guards against memory without bound while many targets send without end, and against sound services
+/// that pay for it: 9 targets, 200 requests, beside large and small answers of another service.
+#[test_case(800; "small answers")]
+#[test_case(4 << 20; "large answers")]
+fn endless_answers_give_way_to_those_of_other_services(sound_bytes: usize) {
+    let mut budget = BufferBudget::new(LIMIT_BYTES);
+    let mut endless: Vec<(BufferId, usize)> = Vec::new();
+    let mut sound_served = 0;
+    for round in 0..400_u64 {
+        if endless.len() < 200 {
+            endless.push((budget.open(owner("pool", round % 9)), 0));
+        }
+        for index in (0..endless.len()).rev() {
+            let (id, bytes) = endless[index];
+            let step = bytes.max(8 << 10);
+            if bytes + step > 8 * MEBIBYTE {
+                budget.close(id);
+                endless.remove(index);
+                continue;
+            }
+            match budget.reserve(START, id, step) {
+                Reservation::Granted => endless[index].1 += step,
+                Reservation::Refused => {
+                    budget.close(id);
+                    endless.remove(index);
+                }
+                Reservation::Wait { evicted } => {
+                    for victim in &evicted {
+                        budget.close(*victim);
+                    }
+                    endless[index].1 += step * usize::from(budget.grant().contains(&id));
+                    endless.retain(|(id, _)| !evicted.contains(id));
+                    break;
+                }
+            }
+            assert!(budget.used_bytes() <= LIMIT_BYTES);
+        }
+        let sound = budget.open(owner("desk", 1));
+        let (is_granted, evicted) = reserve_or_evict(&mut budget, sound, sound_bytes);
+        endless.retain(|(id, _)| !evicted.contains(id));
+        sound_served += usize::from(is_granted);
+        budget.record_progress(START, sound);
+        budget.close(sound);
+        assert!(budget.used_bytes() <= LIMIT_BYTES);
+    }
+    assert_eq!(sound_served, 400);
+}
+
+/// Guards against a faulty target whose answers make the other targets of its service give way.
+#[test]
+fn the_target_that_holds_most_gives_way_first() {
+    let mut budget = BufferBudget::new(LIMIT_BYTES);
+    let sound = open(&mut budget, "pool", 1, 7 * MEBIBYTE);
+    let faulty: Vec<BufferId> = (0..11)
+        .map(|_| open(&mut budget, "pool", 2, 5 * MEBIBYTE))
+        .collect();
+    let (is_granted, evicted) = reserve_or_evict(&mut budget, sound, 5 * MEBIBYTE);
+    assert!(is_granted);
+    assert_eq!(evicted.len(), 1);
+    assert!(faulty.contains(&evicted[0]));
+}
+
+/// Guards against an answer that is lost although it is ready and its caller reads it.
+#[test]
+fn answer_that_is_read_does_not_give_way() {
+    let mut budget = BufferBudget::new(LIMIT_BYTES);
+    let ready = open(&mut budget, "pool", 1, 60 * MEBIBYTE);
+    budget.record_progress(START, ready);
+    let small = open(&mut budget, "desk", 2, MEBIBYTE);
+    let reserved = budget.reserve(START, small, 8 * MEBIBYTE);
+    assert_eq!(
+        reserved,
+        Reservation::Wait {
+            evicted: Vec::new()
+        }
+    );
+    budget.record_progress(START + Duration::from_millis(900), ready);
+    let later = START + Duration::from_millis(1_800);
+    let reserved = budget.reserve(later, small, 8 * MEBIBYTE);
+    assert_eq!(
+        reserved,
+        Reservation::Wait {
+            evicted: Vec::new()
+        }
+    );
+}
+
+/// Guards against callers that don't read and keep all memory from the others.
+#[test]
+fn answer_that_is_not_read_gives_way() {
+    let mut budget = BufferBudget::new(LIMIT_BYTES);
+    let ready: Vec<BufferId> = (0..8)
+        .map(|_| open(&mut budget, "pool", 1, 8 * MEBIBYTE))
+        .collect();
+    for id in &ready {
+        budget.record_progress(START, *id);
+    }
+    let small = budget.open(owner("desk", 2));
+    let reserved = budget.reserve(START + Duration::from_secs(1), small, 800);
+    let Reservation::Wait { evicted } = reserved else {
+        panic!("{reserved:?}");
+    };
+    let [victim] = evicted.as_slice() else {
+        panic!("{evicted:?}");
+    };
+    assert!(ready.contains(victim));
+    budget.close(*victim);
+    assert_eq!(budget.grant(), [small]);
+}
+
+/// Guards against a buffer that waits for ever for room that cannot come.
+#[test]
+fn buffer_above_the_whole_budget_is_refused() {
+    let mut budget = BufferBudget::new(LIMIT_BYTES);
+    let id = open(&mut budget, "pool", 1, LIMIT_BYTES);
+    assert_eq!(budget.reserve(START, id, 1), Reservation::Refused);
+    budget.close(id);
+    assert_eq!(budget.used_bytes(), 0);
+}
+
+/// Guards against an evicted buffer that is counted as room twice, or grows on.
+#[test]
+fn evicted_buffer_is_counted_until_it_is_closed() {
+    let mut budget = BufferBudget::new(LIMIT_BYTES);
+    let large = open(&mut budget, "pool", 1, 63 * MEBIBYTE);
+    let small = open(&mut budget, "desk", 2, MEBIBYTE);
+    let reserved = budget.reserve(START, small, 1);
+    assert_eq!(
+        reserved,
+        Reservation::Wait {
+            evicted: vec![large]
+        }
+    );
+    let reserved = budget.reserve(START, small, 1);
+    assert_eq!(
+        reserved,
+        Reservation::Wait {
+            evicted: Vec::new()
+        }
+    );
+    assert_eq!(budget.reserve(START, large, 1), Reservation::Refused);
+    assert_eq!(budget.used_bytes(), LIMIT_BYTES);
+    budget.close(large);
+    assert_eq!(budget.grant(), [small]);
+}
+
+/// Guards against room that many endless answers take again and again before a sound one gets it.
+#[test]
+fn room_goes_first_to_the_group_that_holds_least() {
+    let mut budget = BufferBudget::new(LIMIT_BYTES);
+    let faulty: Vec<BufferId> = (0..64)
+        .map(|number| open(&mut budget, "pool", number, MEBIBYTE))
+        .collect();
+    for id in &faulty[..40] {
+        drop(budget.reserve(START, *id, MEBIBYTE));
+    }
+    let sound = budget.open(owner("desk", 1));
+    drop(budget.reserve(START, sound, 2 * MEBIBYTE));
+    budget.close(faulty[62]);
+    assert!(budget.grant().is_empty());
+    budget.close(faulty[63]);
+    assert_eq!(budget.grant(), [sound]);
+}
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -30,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::admission::AdmissionControl;
+use crate::buffers::Buffers;
 use crate::dialect::{Dialect, NamedLimit, PauseRequest};
 use crate::http::{Connection, ConnectionPool};
 use crate::in_flight::RequestsInFlight;
@@ -79,6 +80,10 @@
     pub is_first_start: Cell<bool>,
     /// Callers' requests in flight.
     pub in_flight: RequestsInFlight,
+    /// Memory of the bodies of requests.
+    pub(crate) request_buffers: Rc<Buffers>,
+    /// Memory of the answers of targets.
+    pub(crate) answer_buffers: Rc<Buffers>,
     /// Calls the store.
     pub store: StoreClient,
     /// Notified when the path to a target is lost.
@@ -236,8 +241,14 @@
             origins: StreamOrigins::default(),
             retry_budgets: Vec::new(),
         };
+        let share_bytes =
+            |percent: u32| (settings.memory_mb as usize * percent as usize / 100) << 20;
+        let request_bytes = share_bytes(settings.tuning.request_memory_percent);
+        let answer_bytes = share_bytes(settings.tuning.answer_memory_percent);
         let connections = ConnectionPool::new(settings.tuning.target_idle_timeout);
         Rc::new(Self {
+            request_buffers: Buffers::new("request", request_bytes, clock.clone()),
+            answer_buffers: Buffers::new("answer", answer_bytes, clock.clone()),
             settings,
             started_at: clock.now(),
             clock,
@@ -317,6 +328,11 @@
         is_initialized && !state.freshness.is_stale(self.now()) && !self.stopping.is_cancelled()
     }
 
+    /// Bytes of requests and answers that are buffered.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.request_buffers.used_bytes() + self.answer_buffers.used_bytes()
+    }
+
     /// Times of the graceful shutdown.
     #[must_use]
     pub fn stop_plan(&self) -> StopPlan {
--- a/crates/edge/src/http/answer.rs
+++ b/crates/edge/src/http/answer.rs
@@ -18,6 +18,9 @@
 /// Buffer size for one read of a body that ends when the connection closes, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
+/// Bytes after which other tasks get a turn, so that long answers don't delay short ones.
+const MAX_TURN_BYTES: usize = 64 * 1024;
+
 /// Maximum number of consecutive bytes of a body that delimit its chunks.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
 
@@ -56,6 +59,8 @@
     source: Source,
     /// Whether a length or chunks tell where the body ends; otherwise the connection ends with it.
     is_delimited: bool,
+    /// Bytes that were read since other tasks got a turn.
+    turn_bytes: usize,
 }
 
 enum Source {
@@ -92,6 +97,7 @@
         Self {
             source,
             is_delimited: !ends_with_connection,
+            turn_bytes: 0,
         }
     }
 
@@ -106,9 +112,15 @@
     /// # Errors
     /// [`ExchangeError`] if the body is cut off or malformed, also in each later call.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
+        if self.turn_bytes >= MAX_TURN_BYTES {
+            self.turn_bytes = 0;
+            tokio::task::yield_now().await;
+        }
         let result = self.read().await;
-        if result.is_err() {
-            self.source = Source::Failed;
+        match &result {
+            Ok(Some(bytes)) => self.turn_bytes += bytes.len(),
+            Ok(None) => {}
+            Err(_) => self.source = Source::Failed,
         }
         result
     }
--- a/crates/edge/src/http/error.rs
+++ b/crates/edge/src/http/error.rs
@@ -42,6 +42,9 @@
         /// Description of the problem.
         reason: String,
     },
+    /// The memory for answers is used up.
+    #[snafu(display("the memory for answers is used up; check the sizes of answers"))]
+    OutOfMemory,
     /// Too many answers to other requests arrived first.
     #[snafu(display("the target answered other requests; check the target"))]
     WrongRequest,
@@ -96,6 +99,7 @@
             Self::CutOff => "answer_cut_off",
             Self::DeadlinePassed => "time_up",
             Self::Malformed { .. } => "answer_malformed",
+            Self::OutOfMemory => "memory_exhausted",
             Self::WrongRequest => "answer_foreign",
         }
     }
--- a/crates/edge/src/in_flight.rs
+++ b/crates/edge/src/in_flight.rs
@@ -16,6 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::buffers::BufferLease;
 use crate::context::Edge;
 use crate::millis::millis;
 
@@ -110,6 +111,8 @@
 struct Count {
     edge: Rc<Edge>,
     number: RequestNumber,
+    /// Memory of its body, and of its answer if that came from another daemon.
+    buffers: RefCell<Vec<BufferLease>>,
 }
 
 impl CallerGuard {
@@ -117,6 +120,7 @@
         let count = Count {
             number: edge.in_flight.add(edge.now()),
             edge: Rc::clone(edge),
+            buffers: RefCell::default(),
         };
         Self {
             count: Rc::new(count),
@@ -136,6 +140,11 @@
         in_flight.update(self.count.number, |request| request.id = Some(id.clone()));
     }
 
+    /// Keeps memory for as long as the request is in flight.
+    pub(crate) fn keep_buffer(&self, lease: BufferLease) {
+        self.count.buffers.borrow_mut().push(lease);
+    }
+
     fn set_answered(&self) {
         let in_flight = &self.count.edge.in_flight;
         in_flight.update(self.count.number, |request| request.is_answered = true);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,6 +3,7 @@
 //! targets as a [`Dialect`], and the access to the store as a [`StoreClient`].
 
 mod admission;
+mod buffers;
 mod clock;
 mod context;
 mod crash_watch;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -41,6 +41,7 @@
     /// Times that the store was found to be restored from a copy.
     pub store_restores: Counter<u64>,
     retries_left: Gauge<u64>,
+    buffered_bytes: Gauge<u64>,
     /// Number of evacuated failure domains.
     pub evacuated_domains: Gauge<u64>,
 }
@@ -111,6 +112,10 @@
             let builder = meter.u64_counter(name);
             builder.with_description(description).build()
         };
+        let gauge = |name, description| {
+            let builder = meter.u64_gauge(name);
+            builder.with_description(description).build()
+        };
         Self {
             request_duration: seconds(
                 "lapismoor.request.duration",
@@ -155,15 +160,9 @@
                 .f64_gauge("lapismoor.target.share")
                 .with_description("Requests per second that this daemon was permitted to a target when it last had no room")
                 .build(),
-            cold_targets: meter
-                .u64_gauge("lapismoor.target.cold")
-                .with_description("Targets that take fewer requests because they are cold")
-                .build(),
+            cold_targets: gauge("lapismoor.target.cold", "Targets that take fewer requests because they are cold"),
             paths: PathMetrics::new(&meter),
-            target_pace: meter
-                .u64_gauge("lapismoor.target.pace")
-                .with_description("Time that work took at a target when it was last chosen, in percent of the usual")
-                .build(),
+            target_pace: gauge("lapismoor.target.pace", "Time that work took at a target when it was last chosen, in percent of the usual"),
             connections_opened: counter(
                 "lapismoor.target.connections",
                 "Connections opened to targets",
@@ -176,14 +175,9 @@
                 "lapismoor.store.restores",
                 "Times that the store was found to be restored from an older copy",
             ),
-            evacuated_domains: meter
-                .u64_gauge("lapismoor.domain.evacuated")
-                .with_description("Failure domains that are evacuated, as far as this daemon knows")
-                .build(),
-            retries_left: meter
-                .u64_gauge("lapismoor.retry.left")
-                .with_description("Retries left in the budget window after the last failed attempt")
-                .build(),
+            evacuated_domains: gauge("lapismoor.domain.evacuated", "Failure domains that are evacuated, as far as this daemon knows"),
+            retries_left: gauge("lapismoor.retry.left", "Retries left in the budget window after the last failed attempt"),
+            buffered_bytes: gauge("lapismoor.buffer.bytes", "Bytes of requests and answers that are buffered, by kind"),
             registry,
             _provider: provider,
         }
@@ -227,6 +221,12 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Records the bytes that are buffered.
+    pub fn record_buffered(&self, kind: &'static str, bytes: usize) {
+        let kind = KeyValue::new("kind", kind);
+        self.buffered_bytes.record(bytes as u64, &[kind]);
+    }
+
     /// Counts a refused request.
     pub fn count_refused(&self, reason: &'static str) {
         self.requests_refused
--- a/crates/edge/src/profiles/gateway.rs
+++ b/crates/edge/src/profiles/gateway.rs
@@ -2,9 +2,13 @@
 
 use std::rc::Rc;
 
+use actix_web::web::Payload;
+use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream};
-use lapismoor_caller::{AnswerStream, CallerAnswer, CallerRequest, Gateway};
-use lapismoor_core::admission::Refusal;
+use lapismoor_caller::{
+    AnswerMemory, AnswerStream, BodyProblem, CallerAnswer, CallerRequest, Gateway,
+};
+use lapismoor_core::admission::{BufferOwner, Refusal};
 use lapismoor_core::failure::{Failure, FailureKind, NotRunProof};
 use lapismoor_core::ids::WorkspaceId;
 use lapismoor_core::request::{Identity, Request};
@@ -13,13 +17,18 @@
 use super::{idempotency, outcome};
 use crate::context::Edge;
 use crate::in_flight::CallerGuard;
-use crate::serve::{AdmittedRequest, Job, report_refused, run};
+use crate::serve::{AdmittedRequest, BodyError, Job, read_request_body, report_refused, run};
+
+/// Group of the buffers of profile requests, whose workspace is not known yet.
+const PROFILES: &str = "profiles";
 
 /// Builds the interface through which the HTTP handlers reach the daemon.
 pub(crate) fn gateway(edge: &Rc<Edge>) -> Gateway {
     let for_config = Rc::clone(edge);
     let for_ready = Rc::clone(edge);
     let for_submit = Rc::clone(edge);
+    let for_bodies = Rc::clone(edge);
+    let for_memory = Rc::clone(edge);
     Gateway {
         settings: edge.settings.callers.clone(),
         config: Rc::new(move || {
@@ -28,6 +37,11 @@
             edge.profiles().filter(|_| may_accept)
         }),
         is_ready: Rc::new(move || for_ready.is_ready()),
+        read_body: Rc::new(move |http_request, payload| {
+            let guard = CallerGuard::of(&for_bodies, http_request);
+            read_body(Rc::clone(&for_bodies), guard, payload).boxed_local()
+        }),
+        open_memory: Rc::new(move || open_memory(&for_memory)),
         submit: Rc::new(move |http_request, caller_request| {
             let guard = CallerGuard::of(&for_submit, http_request);
             submit(&for_submit, guard, caller_request)
@@ -35,6 +49,43 @@
     }
 }
 
+async fn read_body(
+    edge: Rc<Edge>,
+    guard: CallerGuard,
+    mut payload: Payload,
+) -> Result<Bytes, BodyProblem> {
+    let limit_bytes = edge.settings.callers.max_body_bytes;
+    let lease = edge.request_buffers.open(BufferOwner {
+        group: PROFILES.into(),
+        member: 0,
+    });
+    match read_request_body(&mut payload, limit_bytes, lease).await {
+        Ok((body, lease)) => {
+            guard.keep_buffer(lease);
+            Ok(body)
+        }
+        Err(BodyError::TooLong { .. }) => Err(BodyProblem::TooLarge),
+        Err(BodyError::CutOff { .. }) => Err(BodyProblem::CutOff),
+        Err(BodyError::NoMemory) => Err(BodyProblem::NoMemory),
+    }
+}
+
+/// Opens the memory for a chat that is sent in one piece.
+fn open_memory(edge: &Edge) -> AnswerMemory {
+    let lease = Rc::new(edge.answer_buffers.open(BufferOwner {
+        group: PROFILES.into(),
+        member: 0,
+    }));
+    let evicted = lease.evicted();
+    AnswerMemory {
+        reserve: Box::new(move |bytes| {
+            let lease = Rc::clone(&lease);
+            async move { lease.reserve(bytes).await.is_ok() }.boxed_local()
+        }),
+        revoked: async move { evicted.cancelled().await }.boxed_local(),
+    }
+}
+
 fn submit(edge: &Rc<Edge>, guard: CallerGuard, caller_request: CallerRequest) -> AnswerStream {
     if let CallerRequest::Request { request, .. } = &caller_request {
         guard.set_id(&admitted_request::request_id(request));
--- a/crates/edge/src/profiles/idempotency.rs
+++ b/crates/edge/src/profiles/idempotency.rs
@@ -2,6 +2,7 @@
 //! daemon that owns the id runs such a request, at most once; repeats receive the stored outcome.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_web::rt;
 use bytes::BytesMut;
@@ -13,13 +14,18 @@
 use lapismoor_core::ids::RequestId;
 use lapismoor_core::once::{ClaimResult, KeptAnswer};
 use lapismoor_core::request::{Identity, Request};
-use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{Sender, channel};
 
 use super::gateway::{dispatch, single};
 use super::{keys, ticket_owner};
 use crate::context::Edge;
 use crate::in_flight::CallerGuard;
 
+/// Parts of an answer that wait for its first caller.
+const FORWARDED_PARTS: usize = 4;
+/// Time that the first caller has for each part after the deadline.
+const LAST_PART_TIME: Duration = Duration::from_millis(200);
+
 /// Serves a request that carries a ticket or an idempotency key. It is in flight from its arrival, as
 /// a daemon that stops must not leave a key bound to itself whose request it has not run.
 pub(super) async fn serve(
@@ -38,7 +44,9 @@
         Identity::None => return dispatch(edge, guard, &request).await,
     };
     if id.incarnation != edge.incarnation() {
-        return single(ticket_owner::forward_to_owner(&edge, id, &request, &original).await);
+        return single(
+            ticket_owner::forward_to_owner(&edge, &guard, id, &request, &original).await,
+        );
     }
     let claim = {
         let ledger = &mut edge.state.borrow_mut().ledger;
@@ -75,11 +83,11 @@
     id: RequestId,
     request: Rc<Request>,
 ) -> AnswerStream {
-    let (sender, receiver) = unbounded_channel();
+    let (sender, receiver) = channel(FORWARDED_PARTS);
     let edge = Rc::clone(edge);
     rt::spawn(async move {
         let answers = dispatch(Rc::clone(&edge), guard, &request).await;
-        let outcome = forward_and_collect(answers, &sender).await;
+        let outcome = forward_and_collect(&edge, answers, sender, &request).await;
         let now = edge.now();
         edge.state.borrow_mut().ledger.record_end(now, id, outcome);
         edge.idempotent_request_ended.notify_waiters();
@@ -90,17 +98,31 @@
     incoming.boxed_local()
 }
 
-/// Forwards an answer to the first caller as it arrives, and collects it for repeats.
+/// Forwards an answer to the first caller as it arrives, and collects it for repeats. A caller that does
+/// not read until the deadline is left behind. An answer that is too long to be kept is collected up to
+/// the first byte above the limit.
 async fn forward_and_collect(
+    edge: &Edge,
     mut answers: AnswerStream,
-    first_caller: &UnboundedSender<CallerAnswer>,
+    first_caller: Sender<CallerAnswer>,
+    request: &Request,
 ) -> Result<KeptAnswer, Failure> {
+    let deadline = edge.now() + request.deadline;
+    let collected_bytes = edge.settings.once.kept_answer_bytes + 1;
+    let mut first_caller = Some(first_caller);
     let mut status = 0;
     let mut content_type = CompactString::default();
     let mut body = BytesMut::new();
     while let Some(answer) = answers.next().await {
-        // A failed send means that the caller disconnected; a repeat receives the collected answer.
-        drop(first_caller.send(answer.clone()));
+        if let Some(caller) = &first_caller {
+            let time_left = deadline.saturating_sub(edge.now()).max(LAST_PART_TIME);
+            let sending = caller.send(answer.clone());
+            let sent = tokio::time::timeout(time_left, sending).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                // The caller disconnected or does not read; a repeat receives the collected answer.
+                first_caller = None;
+            }
+        }
         match answer {
             CallerAnswer::Part(AnswerPart::Head {
                 status: head_status,
@@ -109,7 +131,10 @@
                 status = head_status;
                 content_type = head_content_type;
             }
-            CallerAnswer::Part(AnswerPart::Data(bytes)) => body.extend_from_slice(&bytes),
+            CallerAnswer::Part(AnswerPart::Data(bytes)) => {
+                let room_bytes = collected_bytes.saturating_sub(body.len());
+                body.extend_from_slice(&bytes[..bytes.len().min(room_bytes)]);
+            }
             CallerAnswer::Part(AnswerPart::End) => {
                 return Ok(KeptAnswer {
                     status,
--- a/crates/edge/src/profiles/outcome.rs
+++ b/crates/edge/src/profiles/outcome.rs
@@ -12,6 +12,7 @@
 use lapismoor_core::failure::{Failure, FailureKind, NotRunProof};
 
 use super::gateway::single;
+use crate::buffers::OutOfMemory;
 use crate::serve::{BufferedAnswer, CRASHES_TARGETS, Outcome};
 
 /// Failure cause of a stream that reached its deadline.
@@ -24,7 +25,7 @@
         | Outcome::Failed {
             answer: Some(answer),
             ..
-        } => buffered_answer(&answer),
+        } => buffered_answer(answer),
         Outcome::Stream(head, forwarder) => {
             let head = stream::iter([part(head_part(&head))]);
             head.chain(event_parts(*forwarder)).boxed_local()
@@ -62,6 +63,7 @@
             FailureKind::DeadlineUnmeetable,
         ),
         Refusal::QueueFull { .. } => (NotRunProof::NeverDispatched, FailureKind::QueueFull),
+        Refusal::MemoryFull => (NotRunProof::NeverAccepted, FailureKind::MemoryFull),
         Refusal::WorkspaceLimit { .. } => {
             (NotRunProof::NeverDispatched, FailureKind::WorkspaceLimit)
         }
@@ -77,13 +79,20 @@
     Failure::not_run(proof, kind, refusal.retry_after())
 }
 
-fn buffered_answer(answer: &BufferedAnswer) -> AnswerStream {
-    let parts = [
-        part(head_part(&answer.head)),
-        part(AnswerPart::Data(answer.body.clone())),
-        part(AnswerPart::End),
-    ];
-    stream::iter(parts).boxed_local()
+fn buffered_answer(answer: BufferedAnswer) -> AnswerStream {
+    let head = stream::iter([part(head_part(&answer.head))]);
+    let body = stream::unfold(Some(answer.body), |body| async {
+        let mut body = body?;
+        Some(match body.next_segment() {
+            Some(Ok(bytes)) => (part(AnswerPart::Data(bytes)), Some(body)),
+            Some(Err(OutOfMemory)) => {
+                let failure = Failure::unknown(FailureKind::AnswerCut, None);
+                (CallerAnswer::Fail(failure), None)
+            }
+            None => (part(AnswerPart::End), None),
+        })
+    });
+    head.chain(body).boxed_local()
 }
 
 /// The events of a stream, followed by its end or by the failure that cut it off.
--- a/crates/edge/src/profiles/ticket_owner.rs
+++ b/crates/edge/src/profiles/ticket_owner.rs
@@ -3,16 +3,19 @@
 use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use lapismoor_caller::{CallerAnswer, OriginalRequest, RelayedAnswer};
+use lapismoor_core::admission::BufferOwner;
 use lapismoor_core::failure::{Failure, FailureKind};
 use lapismoor_core::ids::RequestId;
 use lapismoor_core::membership::DaemonRecord;
 use lapismoor_core::request::Request;
 use lapismoor_core::routing::{Homes, profile_route};
 
+use crate::buffers::{BufferLease, OutOfMemory, ReceivedBytes};
 use crate::context::Edge;
 use crate::http::{AnswerBody, Connection, ExchangeError};
+use crate::in_flight::CallerGuard;
 use crate::serve::end_to_end_headers;
 
 /// Retry delay sent to a caller when the owner cannot be reached; it may have just started, or the
@@ -21,9 +24,13 @@
 /// Largest answer body that is forwarded.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Group of the buffers of forwarded answers.
+const RELAYED: &str = "ticket_owner";
+
 /// Returns the answer of the daemon that owns a ticket.
 pub(super) async fn forward_to_owner(
     edge: &Edge,
+    guard: &CallerGuard,
     id: RequestId,
     request: &Request,
     original: &OriginalRequest,
@@ -38,7 +45,7 @@
     }
     let forwarding = tokio::time::timeout(
         request.deadline,
-        exchange_with_owner(edge, &owner, original),
+        exchange_with_owner(edge, guard, &owner, original),
     );
     match forwarding.await {
         Ok(Ok(answer)) => CallerAnswer::Relayed(answer),
@@ -85,6 +92,7 @@
 
 async fn exchange_with_owner(
     edge: &Edge,
+    guard: &CallerGuard,
     owner: &DaemonRecord,
     original: &OriginalRequest,
 ) -> Result<RelayedAnswer, ExchangeError> {
@@ -96,21 +104,33 @@
     head.headers = end_to_end_headers(&original.headers);
     let exchange = connection.exchange(head, original.body.clone(), |_| true);
     let (head, body) = exchange.await?;
-    let body = read_body(body).await?;
+    let (body, lease) = read_body(edge, body).await?;
+    guard.keep_buffer(lease);
     Ok(relayed_answer(&head, body))
 }
 
-async fn read_body(mut body: AnswerBody) -> Result<Bytes, ExchangeError> {
-    let mut collected = BytesMut::new();
-    while let Some(bytes) = body.next().await? {
-        if collected.len() + bytes.len() > MAX_ANSWER_BYTES {
+async fn read_body(
+    edge: &Edge,
+    mut body: AnswerBody,
+) -> Result<(Bytes, BufferLease), ExchangeError> {
+    let owner = BufferOwner {
+        group: RELAYED.into(),
+        member: 0,
+    };
+    let mut received = ReceivedBytes::new(edge.answer_buffers.open(owner));
+    loop {
+        let read = received.guard(body.next()).await;
+        let Some(bytes) = read.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?? else {
+            return Ok(received.into_held());
+        };
+        if received.len() + bytes.len() > MAX_ANSWER_BYTES {
             return Err(ExchangeError::Malformed {
                 reason: "the body exceeds the size limit of forwarded answers".into(),
             });
         }
-        collected.extend_from_slice(&bytes);
+        let pushed = received.push(&bytes).await;
+        pushed.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?;
     }
-    Ok(collected.freeze())
 }
 
 fn relayed_answer(head: &ResponseHead, body: Bytes) -> RelayedAnswer {
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use actix_http::{RequestHead, ResponseHead, StatusCode, header};
-use bytes::{Bytes, BytesMut};
 use lapismoor_core::admission::{AnswerTiming, Belief};
 use lapismoor_core::ids::{DaemonId, TargetId, TargetKey};
 use lapismoor_core::retry::{AnswerKind, AttemptEnd, classify_answer};
@@ -16,6 +15,7 @@
 use super::report;
 use super::request_hash;
 use super::run::EVACUATED;
+use crate::buffers::{Delivery, OutOfMemory, ReceivedBytes};
 use crate::context::Edge;
 use crate::dialect::{AnswerMetadata, AttemptHeaders};
 use crate::http::{AnswerBody, Connection, ExchangeError};
@@ -68,7 +68,7 @@
 /// An answer of a target that was read completely.
 pub(crate) struct BufferedAnswer {
     pub head: ResponseHead,
-    pub body: Bytes,
+    pub body: Delivery,
 }
 
 /// An attempt without a usable answer.
@@ -387,28 +387,42 @@
 /// Reads a body of at most `limit_bytes` before the deadline of the request.
 ///
 /// # Errors
-/// [`ExchangeError`] if the body is longer, incomplete or late.
+/// [`ExchangeError`] if the body is longer, incomplete or late, or the memory for answers is used up.
 pub(crate) async fn read_body(
     job: &Job,
     answer: &mut Answer,
     limit_bytes: usize,
-) -> Result<Bytes, ExchangeError> {
+) -> Result<Delivery, ExchangeError> {
+    let too_long = || ExchangeError::Malformed {
+        reason: "the body is too long".into(),
+    };
+    if stated_length(&answer.head).is_some_and(|bytes| bytes > limit_bytes as u64) {
+        return Err(too_long());
+    }
+    let mut received = ReceivedBytes::new(job.open_answer_buffer(answer.target));
     let reading = async {
-        let mut collected = BytesMut::new();
-        while let Some(bytes) = answer.body.next().await? {
-            if collected.len() + bytes.len() > limit_bytes {
-                return Err(ExchangeError::Malformed {
-                    reason: "the body is too long".into(),
-                });
+        loop {
+            let read = received.guard(answer.body.next()).await;
+            let Some(bytes) = read.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?? else {
+                return Ok(received.into_delivery());
+            };
+            if received.len() + bytes.len() > limit_bytes {
+                return Err(too_long());
             }
-            collected.extend_from_slice(&bytes);
+            let pushed = received.push(&bytes).await;
+            pushed.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?;
         }
-        Ok(collected.freeze())
     };
     let limited = tokio::time::timeout(job.time_left(), reading).await;
     limited.unwrap_or(Err(ExchangeError::DeadlinePassed))
 }
 
+/// Length of the body that the head states, in bytes.
+fn stated_length(head: &ResponseHead) -> Option<u64> {
+    let value = head.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
 pub(crate) fn clone_head(head: &ResponseHead) -> ResponseHead {
     let mut copy = ResponseHead::new(head.status);
     copy.headers = head.headers.clone();
--- a/crates/edge/src/serve/body.rs
+++ b/crates/edge/src/serve/body.rs
@@ -3,14 +3,18 @@
 use std::time::Duration;
 
 use actix_web::web::Payload;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::StreamExt;
 use snafu::Snafu;
 
+use crate::buffers::{BufferLease, OutOfMemory, ReceivedBytes};
+
 /// Longest body of a refused request that is read, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Time in which the body of a refused request arrives if it was sent together with the head.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time in which the rest of a body arrives for which there is no memory.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why the body of a caller's request was not read. The text is sent to the caller.
 #[derive(Debug, Snafu)]
@@ -18,6 +22,9 @@
     /// The body is longer than the configuration allows.
     #[snafu(display("the body is longer than {limit_bytes} bytes; send less"))]
     TooLong { limit_bytes: usize },
+    /// The memory for the bodies of requests is used up.
+    #[snafu(display("there is no room for the body; send the request again later"))]
+    NoMemory,
     /// The connection failed before the body was complete.
     #[snafu(display("the body was cut off: {reason}; send it again"))]
     CutOff {
@@ -26,33 +33,66 @@
     },
 }
 
-/// Reads a body of at most `limit_bytes`.
-pub(crate) async fn read(mut payload: Payload, limit_bytes: usize) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
+/// Reads a body of at most `limit_bytes` into memory that is counted. The lease is to be kept while the
+/// body is in use.
+pub(crate) async fn read(
+    payload: &mut Payload,
+    limit_bytes: usize,
+    lease: BufferLease,
+) -> Result<(Bytes, BufferLease), BodyError> {
+    let mut received = ReceivedBytes::new(lease);
+    let result = receive(payload, limit_bytes, &mut received).await;
+    match result {
+        Ok(()) => Ok(received.into_held()),
+        Err(error) => {
+            drop(received);
+            if matches!(error, BodyError::NoMemory) {
+                // A caller that still sends would not read the response.
+                drain(payload, limit_bytes, DRAIN_TIMEOUT).await;
+            }
+            Err(error)
+        }
+    }
+}
+
+async fn receive(
+    payload: &mut Payload,
+    limit_bytes: usize,
+    received: &mut ReceivedBytes,
+) -> Result<(), BodyError> {
+    loop {
+        let read = received.guard(payload.next()).await;
+        let Some(chunk) = read.map_err(|OutOfMemory| BodyError::NoMemory)? else {
+            return Ok(());
+        };
         let chunk = chunk.map_err(|error| BodyError::CutOff {
             reason: error.to_string(),
         })?;
-        if body.len() + chunk.len() > limit_bytes {
+        if received.len() + chunk.len() > limit_bytes {
             return Err(BodyError::TooLong { limit_bytes });
         }
-        body.extend_from_slice(&chunk);
+        let pushed = received.push(&chunk).await;
+        pushed.map_err(|OutOfMemory| BodyError::NoMemory)?;
     }
-    Ok(body.freeze())
 }
 
 /// Reads the body of a request that is refused, if it is short and arrives at once. The connection
 /// of a caller whose body is not read is closed, together with the requests that follow on it.
 pub(crate) async fn discard(payload: &mut Payload) {
+    drain(payload, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
+}
+
+/// Reads a body of at most `limit_bytes` that arrives within `timeout`, and keeps nothing of it.
+async fn drain(payload: &mut Payload, limit_bytes: usize, timeout: Duration) {
     let reading = async {
-        let mut discarded_bytes = 0;
+        let mut drained_bytes = 0;
         while let Some(Ok(chunk)) = payload.next().await {
-            discarded_bytes += chunk.len();
-            if discarded_bytes > MAX_DISCARDED_BYTES {
+            drained_bytes += chunk.len();
+            if drained_bytes > limit_bytes {
                 return;
             }
         }
     };
     // A body that is late or long is left unread, and the connection is closed.
-    drop(tokio::time::timeout(DISCARD_TIMEOUT, reading).await);
+    drop(tokio::time::timeout(timeout, reading).await);
 }
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -7,7 +7,7 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
-use lapismoor_core::admission::{Belief, Priority, Refusal, RequestNeed, SuspectKind};
+use lapismoor_core::admission::{Belief, BufferOwner, Priority, Refusal, RequestNeed, SuspectKind};
 use lapismoor_core::ids::{Fingerprint, ServiceId, StreamKey, TargetKey, hash_parts, stream_key};
 use lapismoor_core::membership::{Directory, KnownTarget, TargetIncarnation};
 use lapismoor_core::retry::{
@@ -23,6 +23,7 @@
 use super::report;
 use super::request_hash;
 use crate::admission::{Permit, PermitRequest};
+use crate::buffers::BufferLease;
 use crate::context::Edge;
 use crate::dialect::Envelope;
 use crate::in_flight::CallerGuard;
@@ -165,6 +166,14 @@
         work(&self.request)
     }
 
+    /// Opens a buffer for an answer of a target.
+    pub(crate) fn open_answer_buffer(&self, target: TargetKey) -> BufferLease {
+        self.edge.answer_buffers.open(BufferOwner {
+            group: self.request.service.clone(),
+            member: target,
+        })
+    }
+
     /// Time until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.edge.now())
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -18,7 +18,7 @@
 
 use actix_web::web::Payload;
 use actix_web::{HttpRequest, HttpResponse};
-use lapismoor_core::admission::{Priority, Refusal, wait_for_configuration};
+use lapismoor_core::admission::{BufferOwner, Priority, Refusal, wait_for_configuration};
 use lapismoor_core::ids::hash_parts;
 use lapismoor_core::routing::{AffinityPreference, Route, RoutingConfig, Workspace};
 
@@ -27,6 +27,7 @@
 use crate::in_flight::CallerGuard;
 pub(crate) use admitted_request::{AdmittedRequest, end_to_end_headers};
 pub(crate) use attempt::BufferedAnswer;
+pub(crate) use body::{BodyError, read as read_request_body};
 pub(crate) use job::Job;
 pub(crate) use report::refused as report_refused;
 pub(crate) use route_key::RouteKey;
@@ -62,8 +63,25 @@
         }
     };
     let limit_bytes = authorized.config.limits().max_body_bytes;
-    let body = match body::read(payload, limit_bytes).await {
-        Ok(body) => body,
+    let owner = BufferOwner {
+        group: authorized
+            .workspace
+            .as_ref()
+            .map(|workspace| workspace.name.clone())
+            .unwrap_or_default(),
+        member: 0,
+    };
+    let lease = edge.request_buffers.open(owner);
+    let body = match body::read(&mut payload, limit_bytes, lease).await {
+        Ok((body, lease)) => {
+            guard.keep_buffer(lease);
+            body
+        }
+        Err(BodyError::NoMemory) => {
+            let refusal = Refusal::MemoryFull;
+            report::refused(&edge, &envelope.id, route_key, received, &refusal);
+            return responses::refused(&edge, &refusal);
+        }
         Err(error) => return responses::bad_body(&edge, &envelope.id, &error),
     };
     let priority = priority(&authorized);
--- a/crates/edge/src/serve/responses.rs
+++ b/crates/edge/src/serve/responses.rs
@@ -1,10 +1,12 @@
 //! HTTP responses to callers of routes.
 
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use actix_http::ResponseHead;
 use actix_http::header::{self, HeaderMap};
-use actix_web::body::BodyStream;
+use actix_web::body::{BodySize, BodyStream, MessageBody};
 use actix_web::http::StatusCode;
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
@@ -16,6 +18,7 @@
 use super::attempt::BufferedAnswer;
 use super::body::BodyError;
 use super::run::Outcome;
+use crate::buffers::{Delivery, OutOfMemory};
 use crate::context::Edge;
 use crate::dialect::EnvelopeError;
 
@@ -61,12 +64,35 @@
     let status = match error {
         BodyError::TooLong { .. } => 413,
         BodyError::CutOff { .. } => 400,
+        BodyError::NoMemory => 503,
     };
     response_builder(edge, status).body(error.to_string())
 }
 
 fn buffered(edge: &Edge, answer: BufferedAnswer) -> HttpResponse {
-    response_for(edge, &answer.head).body(answer.body)
+    response_for(edge, &answer.head).body(AnswerBody(answer.body))
+}
+
+/// Body of an answer that was buffered.
+struct AnswerBody(Delivery);
+
+impl MessageBody for AnswerBody {
+    type Error = io::Error;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.0.len() as u64)
+    }
+
+    fn poll_next(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let segment = self.get_mut().0.next_segment();
+        // An error aborts the connection, so that the answer does not look complete.
+        Poll::Ready(
+            segment.map(|segment| segment.map_err(|OutOfMemory| io::ErrorKind::OutOfMemory.into())),
+        )
+    }
 }
 
 /// Turns events into a response body. An error aborts the caller's connection, so that a stream
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -15,18 +15,24 @@
 use super::report;
 use super::run::{CRASHES_TARGETS, EVACUATED, VERSION_GONE};
 use super::takeover::{self, CHECK_INTERVAL, Offer, Overdue};
+use crate::buffers::{BufferLease, OutOfMemory};
 use crate::store::share_now;
 
 /// Time after the deadline in which events that are ready are still forwarded. A target stops its work
 /// at the deadline; one that goes on is cut off.
 const LATE_DELIVERY: Duration = Duration::from_secs(1);
 
+/// Failure cause of a stream whose incomplete event had to give way to other answers.
+const MEMORY_EXHAUSTED: &str = "memory_exhausted";
+
 /// Forwards a stream from a target to a caller.
 pub(crate) struct StreamForwarder {
     job: Job,
     choice: Choice,
     answer: Answer,
     splitter: EventSplitter,
+    /// Memory of the event that is not complete yet.
+    memory: StreamMemory,
     /// When the last event was forwarded; `None` before the first.
     forwarded_at: Option<Moment>,
     /// Whether the current target has sent events.
@@ -55,6 +61,25 @@
     }
 }
 
+/// Memory of the incomplete event of a stream.
+struct StreamMemory {
+    lease: BufferLease,
+    counted_bytes: usize,
+}
+
+impl StreamMemory {
+    /// Counts the buffered bytes anew.
+    async fn resize(&mut self, bytes: usize) -> Result<(), OutOfMemory> {
+        if bytes > self.counted_bytes {
+            self.lease.reserve(bytes - self.counted_bytes).await?;
+        } else if bytes < self.counted_bytes {
+            self.lease.release(self.counted_bytes - bytes);
+        }
+        self.counted_bytes = bytes;
+        Ok(())
+    }
+}
+
 enum Step {
     Events(Bytes),
     End,
@@ -64,8 +89,13 @@
     pub(crate) fn new(mut job: Job, choice: Choice, answer: Answer) -> Self {
         job.is_streaming = true;
         let splitter = EventSplitter::resumed_after(job.request.envelope.last_event);
+        let memory = StreamMemory {
+            lease: job.open_answer_buffer(answer.target),
+            counted_bytes: 0,
+        };
         Self {
             wait: EventWait::begin(&job),
+            memory,
             job,
             choice,
             answer,
@@ -120,6 +150,8 @@
             self.job.edge.target_heard(self.answer.target);
             let events = self.splitter.push(&bytes);
             let events = events.map_err(|error| FailedAttempt::not_awaited(error.name()))?;
+            let resized = self.memory.resize(self.splitter.pending_bytes()).await;
+            resized.map_err(|OutOfMemory| FailedAttempt::not_awaited(MEMORY_EXHAUSTED))?;
             if !events.is_empty() {
                 self.job.begin_delivery(self.answer.target);
                 self.has_events = true;
@@ -141,8 +173,11 @@
                 time_left
             };
             let reading = read_body(&mut self.answer, &self.splitter);
+            let reading = self.memory.lease.guard(reading);
             if let Ok(result) = tokio::time::timeout(timeout, reading).await {
-                return result;
+                let read =
+                    result.map_err(|OutOfMemory| FailedAttempt::not_awaited(MEMORY_EXHAUSTED));
+                return read?;
             }
             if self.job.time_left().is_zero() {
                 return Err(FailedAttempt::not_awaited("time_up"));
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -28,6 +28,8 @@
     pub peer_address: SocketAddr,
     /// Network bandwidth of the VM, in megabits per second.
     pub link_mbps: u32,
+    /// Memory that the process may use, in mebibytes.
+    pub memory_mb: u32,
     /// Address that serves metrics and status.
     pub metrics_address: SocketAddr,
     /// Limits that hold for the whole fleet.
@@ -84,6 +86,10 @@
     /// Idle timeout of connections to targets that do not announce their own.
     #[serde(rename = "target_idle_ms", with = "crate::millis::whole")]
     pub target_idle_timeout: Duration,
+    /// Share of the process' memory for the answers of targets that are buffered, in percent.
+    pub answer_memory_percent: u32,
+    /// Share of the process' memory for the bodies of requests, in percent.
+    pub request_memory_percent: u32,
     /// Idle timeout of connections from callers.
     #[serde(rename = "caller_idle_ms", with = "crate::millis::whole")]
     pub caller_idle_timeout: Duration,
@@ -144,6 +150,8 @@
             event_silence_timeout: Duration::from_millis(1_200),
             patience_aims: 3,
             target_idle_timeout: Duration::from_secs(4),
+            answer_memory_percent: 25,
+            request_memory_percent: 15,
             caller_idle_timeout: Duration::from_mins(2),
             stop_linger: Duration::from_millis(2_500),
             stop_reserve: Duration::from_millis(500),
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -153,9 +153,6 @@
     let app = App::new()
         .wrap_fn(move |request, service| in_flight::count(&for_count, request, service))
         .app_data(web::Data::new(profiles::gateway(edge)))
-        .app_data(web::PayloadConfig::new(
-            edge.settings.callers.max_body_bytes,
-        ))
         .service(profile_scope)
         .default_service(web::to(move |request: HttpRequest, payload: Payload| {
             serve::serve(Rc::clone(&for_requests), request, payload)
@@ -252,6 +249,10 @@
                 .sweep(now, |target| directory.get(target).is_some());
             (expired, refuted)
         };
+        edge.metrics
+            .record_buffered("request", edge.request_buffers.used_bytes());
+        edge.metrics
+            .record_buffered("answer", edge.answer_buffers.used_bytes());
         edge.report_warmth();
         sweep_evacuations(&edge, now);
         edge.clear_answered();
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -36,6 +36,9 @@
     pub store_era: u64,
     /// Number of callers' requests in flight.
     pub in_flight: usize,
+    /// Bytes of requests and answers that are buffered now.
+    #[serde(default)]
+    pub buffered_bytes: u64,
     /// Estimated share of the fleet's traffic, from 0 to 1.
     pub traffic_share: f64,
     /// Evacuated failure domains, sorted.
@@ -128,6 +131,7 @@
             store_age_ms: state.freshness.age(now).map(millis),
             store_era: state.mirror.revision().unwrap_or_default().era,
             in_flight: edge.in_flight.count(),
+            buffered_bytes: edge.buffered_bytes() as u64,
             traffic_share: state.traffic_share.get(),
             evacuations: evacuations(&state.directory, now),
             targets: targets.map(|target| target_status(target, now)).collect(),
--- a/crates/lapismoor/src/settings.rs
+++ b/crates/lapismoor/src/settings.rs
@@ -70,6 +70,10 @@
     /// the store on behalf of the others.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: u32,
+    /// Memory that the process may use, in mebibytes. Shares of it bound what requests and answers
+    /// buffer together.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
 }
 
 /// Addresses of the platform's services.
@@ -137,6 +141,10 @@
     }
 }
 
+fn default_memory_mb() -> u32 {
+    256
+}
+
 fn default_link_mbps() -> u32 {
     1_000
 }
@@ -198,6 +206,15 @@
         if tuning.store_timeout.is_zero() {
             return out_of_range(path, "tuning.store_timeout_ms", "use 1 or more");
         }
+        if self.core.memory_mb == 0 {
+            return out_of_range(path, "core.memory_mb", "use 1 or more");
+        }
+        if !(1..=50).contains(&tuning.answer_memory_percent) {
+            return out_of_range(path, "tuning.answer_memory_percent", "use 1 to 50");
+        }
+        if !(1..=50).contains(&tuning.request_memory_percent) {
+            return out_of_range(path, "tuning.request_memory_percent", "use 1 to 50");
+        }
         let stop_grace_ms = u128::from(self.limits.stop_grace_ms);
         if (tuning.stop_linger + tuning.stop_reserve).as_millis() > stop_grace_ms {
             let remedy = "use at least the sum of tuning.stop_linger_ms and tuning.stop_reserve_ms";
@@ -221,6 +238,7 @@
             ready_address: None,
             peer_address: self.core.peer_address,
             link_mbps: self.core.link_mbps,
+            memory_mb: self.core.memory_mb,
             metrics_address: self.core.operator_address,
             limits,
             trace_file: self.trace_file,
