Answer requests in flight shortly before a stopping daemon exits

Cause: the process exited with them in flight. Ruled out: requests that are taken late, and answers that are made and not written.

300 ms before the exit waits for targets end: 504 given_up_at_exit for what a target has, 503 for what none has, an abort for streams that began. Targets get no more time than is left until then.

--- a/crates/core/src/admission/stop_plan.rs
+++ b/crates/core/src/admission/stop_plan.rs
@@ -2,7 +2,8 @@
 //!
 //! The load balancer still sends new connections for a while, so the daemon first continues to
 //! accept requests. It then refuses new ones, which callers retry at another daemon at once, and
-//! waits for those in flight.
+//! waits for those in flight. Shortly before the exit it answers the rest with what is known, so that
+//! no caller has to learn it from the end of its connection.
 
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
         /// How long requests are still accepted: until two health checks of the load balancer have
         /// found the daemon not ready.
         pub accept_for: Duration,
+        /// When requests that are still in flight get a final answer.
+        pub answer_within: Duration,
         /// When the process exits even if requests are in flight, before it would be killed.
         pub exit_within: Duration,
     }
@@ -24,6 +27,8 @@
         Accepting,
         /// Refuses new requests and waits for those in flight.
         Draining,
+        /// Gives up the requests in flight and answers their callers.
+        Answering,
         /// Exits the process.
         Exiting,
     }
@@ -40,6 +45,9 @@
         if in_flight == 0 || elapsed >= self.exit_within {
             return StopPhase::Exiting;
         }
+        if elapsed >= self.answer_within {
+            return StopPhase::Answering;
+        }
         StopPhase::Draining
     }
 
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -73,6 +73,8 @@
     pub store_restored: Notify,
     /// Cancelled when the graceful shutdown begins.
     pub stopping: CancellationToken,
+    /// Cancelled shortly before the exit, when requests in flight are given up and answered.
+    pub giving_up: CancellationToken,
     /// When the graceful shutdown began; none before.
     pub stopping_since: Cell<Option<Moment>>,
     /// Whether no daemon was announced when this one started, so that the fleet may start for the
@@ -261,6 +263,7 @@
             store_changed: Notify::new(),
             store_restored: Notify::new(),
             stopping: CancellationToken::new(),
+            giving_up: CancellationToken::new(),
             stopping_since: Cell::new(None),
             is_first_start: Cell::new(false),
             in_flight: RequestsInFlight::default(),
@@ -340,10 +343,19 @@
         let grace = self.settings.limits.stop_grace;
         StopPlan {
             accept_for: tuning.stop_linger,
+            answer_within: grace
+                .saturating_sub(tuning.stop_reserve)
+                .saturating_sub(tuning.stop_answer),
             exit_within: grace.saturating_sub(tuning.stop_reserve),
         }
     }
 
+    /// When requests in flight are given up, if the daemon is shutting down.
+    pub(crate) fn gives_up_at(&self) -> Option<Moment> {
+        let since = self.stopping_since.get()?;
+        Some(since + self.stop_plan().answer_within)
+    }
+
     /// Whether new requests are accepted: before the graceful shutdown, and for a time within it.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -216,14 +216,14 @@
         let body = job.request.body.clone();
         let asked_at = edge.now();
         let exchange = self.connection.exchange(head, body, answers_request);
-        let (head, body) = match tokio::time::timeout(job.time_left(), exchange).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => {
+        let (head, body) = match job.in_time(exchange).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(error)) => {
                 let mut failed = failed_attempt(edge, target, &error);
                 failed.may_repeat_target = self.is_reused && error.is_connection_lost();
                 return Err(failed);
             }
-            Err(_) => return Err(FailedAttempt::not_awaited("time_up")),
+            None => return Err(FailedAttempt::not_awaited(job.cause_of_timeout())),
         };
         job.answer_began(target);
         if head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -413,8 +413,8 @@
             pushed.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?;
         }
     };
-    let limited = tokio::time::timeout(job.time_left(), reading).await;
-    limited.unwrap_or(Err(ExchangeError::DeadlinePassed))
+    let in_time = job.in_time(reading).await;
+    in_time.unwrap_or(Err(ExchangeError::DeadlinePassed))
 }
 
 /// Length of the body that the head states, in bytes.
@@ -461,7 +461,7 @@
         homes: job.request.homes(),
     };
     let opening = edge.connect_to(target, timeout, purpose);
-    let opened = tokio::time::timeout(job.time_left(), opening).await;
+    let opened = job.in_time(opening).await;
     let opened = opened.unwrap_or(Err(ExchangeError::ConnectTimeout))?;
     Ok(Connected {
         connection: opened.connection,
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -29,6 +29,10 @@
 use crate::in_flight::CallerGuard;
 use crate::spans::ActiveSpan;
 
+/// Cause of an attempt whose answer was not complete at the deadline.
+pub(super) const TIME_UP: &str = "time_up";
+/// Cause of an attempt that was given up because the daemon exits.
+const GIVEN_UP_AT_EXIT: &str = "given_up_at_exit";
 /// Least time before the deadline with which another attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Least time before the deadline with which another target can be expected to answer instead of
@@ -155,7 +159,12 @@
         let edge = Rc::clone(&self.edge);
         let started_at = edge.now();
         let permit = edge.acquire_permit(permit_request(&edge, &self.request));
-        self.permit = Some(permit.await?);
+        let permit = tokio::select! {
+            biased;
+            permit = permit => permit?,
+            () = edge.giving_up.cancelled() => return Err(Refusal::Stopping),
+        };
+        self.permit = Some(permit);
         self.queue_wait = edge.now().saturating_sub(started_at);
         edge.metrics.record_wait(self.queue_wait);
         Ok(())
@@ -174,9 +183,30 @@
         })
     }
 
-    /// Time until the deadline.
+    /// Time until the deadline, or until this daemon, which is shutting down, gives its requests up.
     pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_sub(self.edge.now())
+        let gives_up_at = self.edge.gives_up_at().unwrap_or(self.deadline);
+        let ends_at = self.deadline.min(gives_up_at);
+        ends_at.saturating_sub(self.edge.now())
+    }
+
+    /// Runs `work` until it ends; `None` if the time that is left passes before.
+    pub(crate) async fn in_time<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            result = work => Some(result),
+            () = tokio::time::sleep(self.time_left()) => None,
+            () = self.edge.giving_up.cancelled() => None,
+        }
+    }
+
+    /// Why an attempt ends whose time has passed.
+    pub(crate) fn cause_of_timeout(&self) -> &'static str {
+        if self.edge.now() < self.deadline && self.edge.stopping.is_cancelled() {
+            GIVEN_UP_AT_EXIT
+        } else {
+            TIME_UP
+        }
     }
 
     /// Whether the request is tried while the targets of its service take fewer than it gets.
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -11,11 +11,12 @@
 use actix_http::ResponseHead;
 
 use super::attempt::{self, Answer, BufferedAnswer, FailedAttempt};
-use super::job::Job;
+use super::job::{Job, TIME_UP};
 use super::report;
 use super::resumption::bind_to_origin;
 use super::stream_forwarder::StreamForwarder;
 use super::takeover;
+use crate::http::ExchangeError;
 use crate::store::share_now;
 
 /// Longest answer that is buffered, in bytes.
@@ -58,7 +59,7 @@
     let edge = Rc::clone(&job.edge);
     let fingerprint = job.fingerprint;
     let outcome = run_attempts(job).await;
-    if matches!(outcome, Outcome::Failed { .. }) {
+    if matches!(outcome, Outcome::Failed { .. }) && !edge.giving_up.is_cancelled() {
         // The caller may repeat the request at another daemon, which must know of its crashes.
         share_now(&edge, fingerprint).await;
     }
@@ -124,6 +125,12 @@
             report::served(job, &target_id, buffered.head.status.as_u16());
             Ok(buffered)
         }
+        Err(ExchangeError::DeadlinePassed) => {
+            let cause = job.cause_of_timeout();
+            let is_failure = cause == TIME_UP;
+            job.edge.target_answered(answer.target, is_failure);
+            Err(FailedAttempt::not_awaited(cause))
+        }
         Err(error) => {
             job.edge.target_answered(answer.target, true);
             Err(FailedAttempt::cut_off(&error))
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -11,7 +11,7 @@
 use lapismoor_core::stream::EventSplitter;
 
 use super::attempt::{Answer, FailedAttempt};
-use super::job::Job;
+use super::job::{Job, TIME_UP};
 use super::report;
 use super::run::{CRASHES_TARGETS, EVACUATED, VERSION_GONE};
 use super::takeover::{self, CHECK_INTERVAL, Offer, Overdue};
@@ -139,7 +139,7 @@
     async fn read(&mut self) -> Result<Step, FailedAttempt> {
         loop {
             if self.job.edge.now() >= self.job.deadline + LATE_DELIVERY {
-                return Err(FailedAttempt::not_awaited("time_up"));
+                return Err(FailedAttempt::not_awaited(TIME_UP));
             }
             let Some(bytes) = self.read_bytes().await? else {
                 if !self.has_events && !self.answer.body.is_delimited() {
@@ -174,13 +174,14 @@
             };
             let reading = read_body(&mut self.answer, &self.splitter);
             let reading = self.memory.lease.guard(reading);
-            if let Ok(result) = tokio::time::timeout(timeout, reading).await {
+            let reading = self.job.in_time(reading);
+            if let Ok(Some(result)) = tokio::time::timeout(timeout, reading).await {
                 let read =
                     result.map_err(|OutOfMemory| FailedAttempt::not_awaited(MEMORY_EXHAUSTED));
                 return read?;
             }
             if self.job.time_left().is_zero() {
-                return Err(FailedAttempt::not_awaited("time_up"));
+                return Err(FailedAttempt::not_awaited(self.job.cause_of_timeout()));
             }
             self.wait.check_at = self.job.edge.now() + CHECK_INTERVAL;
             let is_first = !std::mem::replace(&mut self.wait.is_checked, true);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -100,6 +100,10 @@
     /// Part of the stop grace period left unused, so that the process exits before SIGKILL.
     #[serde(rename = "stop_reserve_ms", with = "crate::millis::whole")]
     pub stop_reserve: Duration,
+    /// Time before the exit of a stopping daemon at which requests that are still in flight get a final
+    /// answer.
+    #[serde(rename = "stop_answer_ms", with = "crate::millis::whole")]
+    pub stop_answer: Duration,
     /// Longest wait for changes in the store. Together with the time for which changes are
     /// gathered, it takes two fifths of the usual revocation limit, which leaves three fifths if
     /// the store becomes unavailable.
@@ -155,6 +159,7 @@
             caller_idle_timeout: Duration::from_mins(2),
             stop_linger: Duration::from_millis(2_500),
             stop_reserve: Duration::from_millis(500),
+            stop_answer: Duration::from_millis(300),
             store_wait: Duration::from_millis(1_750),
             list_timeout: Duration::from_secs(4),
             reader_wait: Duration::from_secs(1),
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -288,7 +288,12 @@
     let stop_began = edge.stopping_since.get().unwrap_or_else(|| edge.now());
     log::info!(in_flight = edge.in_flight.count() as u64; "stopping");
     let in_flight = || edge.in_flight.count() + edge.state.borrow().relay_slots.in_use();
-    while plan.phase(edge.now(), stop_began, in_flight()) != StopPhase::Exiting {
+    loop {
+        match plan.phase(edge.now(), stop_began, in_flight()) {
+            StopPhase::Exiting => break,
+            StopPhase::Answering => edge.giving_up.cancel(),
+            StopPhase::Accepting | StopPhase::Draining => {}
+        }
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
     stop_accepting.cancel();
