Run chats again only under replayable profiles

Cause: every chat was marked as repeatable until its first event; the profile only decided about later ones. Ruled out: a second right to dispatch, clients that repeat.

Now the profile decides in both. One of two cases of chats_run_again_only_where_the_profile_says_so failed before, both pass.

--- a/crates/caller/src/chat.rs
+++ b/crates/caller/src/chat.rs
@@ -154,7 +154,7 @@
         },
         class: profile.class,
         deadline: headers::deadline(request, profile, trace)?,
-        idempotent: true,
+        idempotent: profile.replayable,
         replayable: profile.replayable,
         content_type: "application/json".into(),
         body: Bytes::from(document.to_string()),
--- a/crates/caller/tests/http.rs
+++ b/crates/caller/tests/http.rs
@@ -21,6 +21,7 @@
 use lapismoor_core::failure::{Failure, FailureKind, NotRunProof};
 use lapismoor_core::ids::RequestId;
 use lapismoor_core::request::{Class, Identity, Work};
+use lapismoor_core::routing::profile_route;
 use serde_json::Value;
 use test_case::test_case;
 
@@ -30,13 +31,17 @@
 
 type Submitted = Rc<RefCell<Vec<CallerRequest>>>;
 
-fn gateway(answers: Vec<CallerAnswer>, submitted: &Submitted) -> Gateway {
+fn example() -> Config {
     let config = Config::parse(include_bytes!("../../../examples/midshire.json"));
+    config.expect("the example is valid")
+}
+
+fn gateway(config: Config, answers: Vec<CallerAnswer>, submitted: &Submitted) -> Gateway {
     let accepted = Arc::new(Accepted {
         revision: 1,
         change_mark: 1,
         accepted_at_ms: 0,
-        config: config.expect("the example is valid"),
+        config,
     });
     let submitted = Rc::clone(submitted);
     Gateway {
@@ -98,9 +103,17 @@
 fn send(
     answers: Vec<CallerAnswer>,
     request: TestRequest,
+) -> (ReceivedResponse, Vec<CallerRequest>) {
+    send_under(example(), answers, request)
+}
+
+fn send_under(
+    config: Config,
+    answers: Vec<CallerAnswer>,
+    request: TestRequest,
 ) -> (ReceivedResponse, Vec<CallerRequest>) {
     let submitted = Submitted::default();
-    let gateway = gateway(answers, &submitted);
+    let gateway = gateway(config, answers, &submitted);
     let received = actix_web::rt::System::new().block_on(async {
         let payload = web::PayloadConfig::new(gateway.settings.max_body_bytes);
         let app = App::new()
@@ -283,6 +296,26 @@
     assert!(matches!(&request.work, Work::Call { path, .. } if *path == expected_path));
 }
 
+/// Guards against a chat that runs again after its answer was lost although its stream may not be continued
+/// at another target.
+#[test_case(true; "replayable")]
+#[test_case(false; "not replayable")]
+fn chats_run_again_only_where_the_profile_says_so(is_replayable: bool) {
+    let mut config: Value =
+        serde_json::from_slice(include_bytes!("../../../examples/midshire.json")).expect("JSON");
+    for profile in config["profiles"].as_array_mut().into_iter().flatten() {
+        profile["replayable"] = is_replayable.into();
+    }
+    let config = Config::parse(config.to_string().as_bytes()).expect("valid");
+    let (_, submitted) = send_under(config.clone(), complete_chat(), chat(BODY));
+    let [CallerRequest::Request { request, .. }] = submitted.as_slice() else {
+        panic!("expected one submitted request")
+    };
+    let profile = config.profile(&request.profile).expect("a profile");
+    let route = profile_route::route(request, profile);
+    assert_eq!(route.is_repeatable(), is_replayable);
+}
+
 #[test]
 fn a_ticket_is_issued_for_the_workspace_of_the_key() {
     let ticket = RequestId {
