Refuse paths that are not known yet as not run

Cause: until the first list the profile API handled all paths under its prefix, and has no such path. Ruled out: lost routes, a daemon that is taken for up to date.

--- a/crates/caller/src/auth.rs
+++ b/crates/caller/src/auth.rs
@@ -14,7 +14,7 @@
 use crate::trace::TraceContext;
 
 /// `Retry-After` of a daemon that has no configuration yet.
-const NOT_READY_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
+pub(crate) const NOT_READY_RETRY_AFTER: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// Workspace of an authenticated caller, and the configuration it was found in.
 pub(crate) struct Authenticated {
--- a/crates/caller/src/errors.rs
+++ b/crates/caller/src/errors.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
-use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, web};
 use lapismoor_core::failure::{Failure, FailureKind, NotRunProof, Outcome};
 use serde::{Deserialize, Serialize};
 
+use crate::auth::NOT_READY_RETRY_AFTER;
+use crate::gateway::Gateway;
+
 /// JSON body of an error response.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorBody {
@@ -104,7 +107,17 @@
 }
 
 /// Handles requests to unknown paths.
-pub(crate) async fn not_found() -> HttpResponse {
+pub(crate) async fn not_found(gateway: web::Data<Gateway>) -> HttpResponse {
+    if (gateway.config)().is_none() {
+        // A route that is not known yet may have this path.
+        let kind = FailureKind::NotReady;
+        let failure = Failure::not_run(
+            NotRunProof::NeverAccepted,
+            kind,
+            Some(NOT_READY_RETRY_AFTER),
+        );
+        return response(&failure, "");
+    }
     let message = "there is nothing at this path; see docs/CALLING.md for the paths";
     reject(StatusCode::NOT_FOUND, message, "").into_response()
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -30,22 +30,26 @@
 
 /// Path of the load balancer's health check.
 const HEALTH_PATH: &str = "/health";
-/// Prefix of all other paths.
-const API_PREFIX: &str = "/v1/";
+const MODELS_PATH: &str = "/v1/models";
+const CHAT_PATH: &str = "/v1/chat/completions";
+const TICKETS_PATH: &str = "/v1/tickets";
+/// Prefix of the paths of service calls.
+const SERVICES_PREFIX: &str = "/v1/services/";
 
-/// Whether a path is one of the interface, or may become one.
+/// Whether a path is one of the interface.
 #[must_use]
 pub fn is_api_path(path: &str) -> bool {
-    path == HEALTH_PATH || path.starts_with(API_PREFIX)
+    let paths = [HEALTH_PATH, MODELS_PATH, CHAT_PATH, TICKETS_PATH];
+    paths.contains(&path) || path.starts_with(SERVICES_PREFIX)
 }
 
 /// Registers all routes; they need a [`Gateway`] as application data.
 pub fn routes(config: &mut web::ServiceConfig) {
     config
         .route(HEALTH_PATH, web::get().to(gateway::health))
-        .route("/v1/models", web::get().to(chat::models))
-        .route("/v1/chat/completions", web::post().to(chat::completions))
-        .route("/v1/tickets", web::post().to(tickets::issue))
+        .route(MODELS_PATH, web::get().to(chat::models))
+        .route(CHAT_PATH, web::post().to(chat::completions))
+        .route(TICKETS_PATH, web::post().to(tickets::issue))
         .route(
             "/v1/services/{service}/{path:.*}",
             web::route().to(services::call),
