Forward the path of service calls as sent

Cause: the path came from the web framework's match, which decodes it, and went into the request line decoded.

--- a/crates/caller/src/services.rs
+++ b/crates/caller/src/services.rs
@@ -12,18 +12,16 @@
 use crate::errors::Rejection;
 use crate::gateway::{AnswerParts, BodyProblem, CallerRequest, Gateway, OriginalRequest};
 use crate::trace::TraceContext;
-use crate::{answer, headers};
+use crate::{SERVICES_PREFIX, answer, headers};
 
 /// Handles `/v1/services/{service}/{path}` with any method.
 pub(crate) async fn call(
     gateway: web::Data<Gateway>,
     request: HttpRequest,
-    path: web::Path<(String, String)>,
     payload: web::Payload,
 ) -> HttpResponse {
     let body = (gateway.read_body)(&request, payload).await;
-    let (service, path) = path.into_inner();
-    match submit(&gateway, &request, &service, &path, body) {
+    match submit(&gateway, &request, body) {
         Ok((parts, trace)) => answer::stream_response(parts, trace).await,
         Err(rejection) => rejection.into_response(),
     }
@@ -32,14 +30,13 @@
 fn submit(
     gateway: &Gateway,
     request: &HttpRequest,
-    service: &str,
-    path: &str,
     body: Result<Bytes, BodyProblem>,
 ) -> Result<(AnswerParts, TraceContext), Rejection> {
     let caller = auth::authenticate(gateway, request)?;
     let trace = caller.trace.clone();
     let body = headers::body(body, &trace)?;
     let config = &caller.accepted.config;
+    let (service, path) = service_and_path(request, &trace)?;
     let pool = service_pool(config, service, &trace)?;
     let profile = profile(config, pool, request, &trace)?;
     let method = request.method().as_str();
@@ -70,6 +67,19 @@
     Ok((gateway.send(request, caller_request), trace))
 }
 
+/// The service and the path of a call, as the caller encoded them: the target may tell an encoded slash
+/// from a plain one.
+fn service_and_path<'a>(
+    request: &'a HttpRequest,
+    trace: &TraceContext,
+) -> Result<(&'a str, &'a str), Rejection> {
+    let path = request.uri().path().strip_prefix(SERVICES_PREFIX);
+    let parts = path.and_then(|path| path.split_once('/'));
+    parts.ok_or_else(|| {
+        headers::bad_request("the path names no service; see docs/CALLING.md", trace)
+    })
+}
+
 fn service_pool<'a>(
     config: &'a Config,
     service: &str,
--- a/crates/caller/tests/http.rs
+++ b/crates/caller/tests/http.rs
@@ -296,6 +296,31 @@
     assert!(matches!(&request.work, Work::Call { path, .. } if *path == expected_path));
 }
 
+/// Guards against a call that runs with another path or query than the caller's: an encoded character is
+/// part of a name.
+#[test_case("rooms/salon%2Fest/open"; "slash")]
+#[test_case("rooms/9%3Fall=1/open"; "question mark")]
+#[test_case("rooms/suite%23/open"; "number sign")]
+#[test_case("rooms/50%25/open"; "percent sign")]
+#[test_case("rooms/%C3%A9t%C3%A9%20/open"; "letters")]
+#[test_case("rooms//open/"; "empty segment")]
+#[test_case("rooms/../open;v=1?a=%26&b=c%3F"; "query")]
+#[test_case("rooms?path=/a/b"; "slashes in the query")]
+fn service_calls_keep_the_path_as_sent(path: &str) {
+    let request = TestRequest::post()
+        .uri(&format!("/v1/services/map-lookup/{path}"))
+        .insert_header(("authorization", KEY));
+    let (_, submitted) = send(vec![head("text/plain"), end()], request);
+    let [CallerRequest::Request { request, .. }] = submitted.as_slice() else {
+        panic!("expected one submitted request")
+    };
+    assert!(
+        matches!(&request.work, Work::Call { path: sent, .. } if sent == path),
+        "{:?}",
+        request.work
+    );
+}
+
 /// Guards against a chat that runs again after its answer was lost although its stream may not be continued
 /// at another target.
 #[test_case(true; "replayable")]
