Put a later change in force whose revision was lost and given out again

Cause: lost revisions are given out again, and daemons that had had them compared revisions only. A change with another mark that was accepted later now comes into force as well; the restored copy was accepted earlier and takes nothing back.

--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -75,6 +75,14 @@
 }
 
 impl Accepted {
+    /// Whether this change was accepted after `other`, also if the store lost the revision of that one and
+    /// gave it out again.
+    #[must_use]
+    pub fn is_later_than(&self, other: &Self) -> bool {
+        let is_other_change = self.change_mark != other.change_mark;
+        is_other_change && self.accepted_at_ms > other.accepted_at_ms
+    }
+
     /// Parses and checks a stored configuration.
     ///
     /// # Errors
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -1,6 +1,8 @@
 //! Validation of configurations, which version is in force, and changes by operators.
 
-use lapismoor_core::config::{Change, ChangeOutcome, ChangeStep, Config, ConfigInForce, Offered};
+use lapismoor_core::config::{
+    Accepted, Change, ChangeOutcome, ChangeStep, Config, ConfigInForce, Offered,
+};
 use lapismoor_core::store::{Record, StoreAnswer, StoreFailure, StoreRequest, StoreResult};
 use test_case::test_case;
 
@@ -48,6 +50,34 @@
     );
 }
 
+/// Guards against a key that stays in use because the store came back from an older copy and gave the
+/// revision of a lost change out again, for the change that took the key away.
+#[test_case(8, 2, 30, true; "the same revision, accepted later")]
+#[test_case(7, 2, 30, true; "a lower revision, accepted later")]
+#[test_case(9, 2, 10, true; "a greater revision, by a clock that is behind")]
+#[test_case(7, 2, 10, false; "the copy from which the store came back")]
+#[test_case(8, 1, 30, false; "the same change again")]
+fn later_change_comes_into_force_after_revisions_were_lost(
+    revision: u64,
+    change_mark: u64,
+    accepted_at_ms: u64,
+    expected: bool,
+) {
+    let accepted = |revision, change_mark, accepted_at_ms| Accepted {
+        revision,
+        change_mark,
+        accepted_at_ms,
+        config: config(),
+    };
+    let mut in_force = ConfigInForce::default();
+    in_force.offer(8, accepted(8, 1, 20));
+    let offered = accepted(revision, change_mark, accepted_at_ms);
+    let later = offered.clone();
+    let actual = in_force.offer_if(revision, offered, |current| later.is_later_than(current));
+    let is_in_force = matches!(actual, Offered::NowInForce { .. });
+    assert_eq!(is_in_force, expected, "{actual:?}");
+}
+
 /// Store with a single key.
 #[derive(Default)]
 struct SingleKeyStore {
--- a/crates/edge/src/store/apply.rs
+++ b/crates/edge/src/store/apply.rs
@@ -97,7 +97,9 @@
     let version = accepted.revision;
     let profiles = accepted.config.profiles.len();
     let mut state = edge.state.borrow_mut();
-    match state.profiles.offer(version, accepted) {
+    let offered = Arc::clone(&accepted);
+    let is_later = |current: &Arc<Accepted>| offered.is_later_than(current);
+    match state.profiles.offer_if(version, accepted, is_later) {
         Offered::NowInForce { before } => {
             log::info!(version, version_before = before, profiles; "profiles_in_force");
         }
