Write the records of idempotency keys again after the store was restored

Cause: nothing wrote the lost record again, and the other daemon took its absence for a key that was never bound. Ruled out: an owner that forgot the key, a copy of the store that is old.

It costs one read for each new key.

--- a/crates/core/src/once/ledger.rs
+++ b/crates/core/src/once/ledger.rs
@@ -129,6 +129,19 @@
         }
     }
 
+    /// The idempotency keys that are bound to ids of this ledger.
+    #[must_use]
+    pub fn bound_keys(&self) -> Vec<(RecordKey, RequestId)> {
+        let bound = self.entries.iter().filter_map(|entry| {
+            let id = RequestId {
+                incarnation: self.incarnation,
+                sequence: entry.sequence,
+            };
+            Some((entry.key.clone()?, id))
+        });
+        bound.collect()
+    }
+
     /// Id that an idempotency key is bound to, if its entry has not expired.
     #[must_use]
     pub fn bound_id(&self, key: &str) -> Option<RequestId> {
--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -71,6 +71,8 @@
     pub store_changed: Notify,
     /// Notified when the store was found to be restored from a copy.
     pub store_restored: Notify,
+    /// When the store was last found to be restored from a copy; `None` if it never was.
+    pub store_restored_at: Cell<Option<Moment>>,
     /// Cancelled when the graceful shutdown begins.
     pub stopping: CancellationToken,
     /// Cancelled shortly before the exit, when requests in flight are given up and answered.
@@ -262,6 +264,7 @@
             metrics: Metrics::default(),
             store_changed: Notify::new(),
             store_restored: Notify::new(),
+            store_restored_at: Cell::default(),
             stopping: CancellationToken::new(),
             giving_up: CancellationToken::new(),
             stopping_since: Cell::new(None),
--- a/crates/edge/src/profiles/keys.rs
+++ b/crates/edge/src/profiles/keys.rs
@@ -1,6 +1,7 @@
 //! Binds idempotency keys of callers to request ids through records in the store.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -10,11 +11,22 @@
 use lapismoor_core::ids::{RequestId, WorkspaceId};
 use lapismoor_core::once::key_binding::store_unavailable;
 use lapismoor_core::once::{BindStep, KEY_LEASE_ROTATION, KEY_LEASE_TTL, KeyBinding, record_key};
-use lapismoor_core::store::{LeaseId, StoreFailure, StoreRequest, StoreResult};
+use lapismoor_core::store::{
+    LeaseId, RecordKey, StoreAnswer, StoreFailure, StoreRequest, StoreResult,
+};
 
 use crate::context::Edge;
 use crate::in_flight::CallerGuard;
-use crate::store::{RecordLease, records};
+use crate::store::{RecordLease, initial_delay, records};
+
+/// Time in which the daemons of a small fleet learn of a restore and write their records again: their
+/// longest call to the store, and its timeout, twice.
+const MIN_REWRITE_TIME: Duration = Duration::from_secs(5);
+/// The same for each further daemon, whose writes are spread.
+const REWRITE_TIME_PER_DAEMON: Duration = Duration::from_millis(10);
+/// Calls for one record after a restore.
+const MAX_REWRITES: u32 = 5;
+const REWRITE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// The current lease of the key records, and the limit on the rate at which they are written.
 #[derive(Debug)]
@@ -66,6 +78,10 @@
     }
     let limited = edge.key_lease.try_acquire(edge.now());
     limited.map_err(|wait| Failure::unknown(FailureKind::WorkspaceLimit, Some(wait)))?;
+    if may_have_lost_records(edge, &record).await {
+        log::info!(record = record.as_str(); "key_not_bound_after_restore");
+        return Err(store_unavailable());
+    }
     let lease = current_lease(edge).await?;
     let now = edge.now();
     let id = edge.state.borrow_mut().ledger.issue(now, workspace)?;
@@ -88,6 +104,67 @@
     }
 }
 
+/// Whether the store may have lost the record of a key, and its owner has not written it again: for a time
+/// after it was restored from a copy, also if this daemon learns of that from this very read.
+async fn may_have_lost_records(edge: &Edge, record: &RecordKey) -> bool {
+    let read = StoreRequest::Read {
+        key: record.clone(),
+    };
+    if let Ok(StoreAnswer::Read { record: Some(_) }) = call_store(edge, read).await {
+        return false;
+    }
+    let copy = edge.state.borrow().mirror.revision();
+    let is_behind = copy.is_some_and(|copy| copy.era < edge.store.era.get());
+    let restored_at = edge.store_restored_at.get();
+    is_behind || restored_at.is_some_and(|at| edge.now() < at + rewrite_time(edge))
+}
+
+/// Time after a restore of the store in which the owners of keys write their records again.
+fn rewrite_time(edge: &Edge) -> Duration {
+    let daemons = u32::try_from(edge.state.borrow().daemons.len()).unwrap_or(u32::MAX);
+    MIN_REWRITE_TIME.saturating_add(REWRITE_TIME_PER_DAEMON.saturating_mul(daemons))
+}
+
+/// Writes the records of this daemon's keys again whenever the store was restored from a copy.
+pub(crate) async fn rewrite_records(edge: Rc<Edge>) {
+    loop {
+        edge.store_restored.notified().await;
+        tokio::time::sleep(initial_delay(&edge)).await;
+        let bound = edge.state.borrow().ledger.bound_keys();
+        let mut written: usize = 0;
+        for (record, id) in &bound {
+            if let Err(wait) = edge.key_lease.try_acquire(edge.now()) {
+                tokio::time::sleep(wait).await;
+            }
+            written += usize::from(rewrite(&edge, record, *id).await);
+        }
+        if !bound.is_empty() {
+            let keys = bound.len() as u64;
+            log::info!(keys, written = written as u64; "key_records_rewritten");
+        }
+    }
+}
+
+/// Writes a record again; returns whether the key is bound to `id` then.
+async fn rewrite(edge: &Edge, record: &RecordKey, id: RequestId) -> bool {
+    for _ in 0..MAX_REWRITES {
+        let Ok(lease) = current_lease(edge).await else {
+            tokio::time::sleep(REWRITE_RETRY_DELAY).await;
+            continue;
+        };
+        let binding = KeyBinding::new(record.clone(), id, lease);
+        match call_store(edge, binding.begin()).await {
+            Ok(StoreAnswer::Swapped) => return true,
+            Ok(StoreAnswer::Conflict { record: Some(kept) }) => {
+                return kept.value == id.to_string().as_bytes();
+            }
+            Ok(StoreAnswer::LeaseGone) => edge.key_lease.forget(),
+            _ => tokio::time::sleep(REWRITE_RETRY_DELAY).await,
+        }
+    }
+    false
+}
+
 async fn current_lease(edge: &Edge) -> Result<LeaseId, Failure> {
     let lease = edge
         .key_lease
--- a/crates/edge/src/profiles/mod.rs
+++ b/crates/edge/src/profiles/mod.rs
@@ -14,6 +14,7 @@
 use crate::serve::RouteKey;
 pub(crate) use gateway::gateway;
 pub use keys::KeyLease;
+pub(crate) use keys::rewrite_records;
 
 /// Whether the profile API handles a request: profiles are configured and no route matches. Before
 /// the first list of the store is read, it handles its own paths, and refuses them as not ready.
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -114,6 +114,7 @@
     };
     rt::spawn(follow(Rc::clone(&edge), store.clone()));
     rt::spawn(announce(Rc::clone(&edge), store, record));
+    rt::spawn(profiles::rewrite_records(Rc::clone(&edge)));
     rt::spawn(share_suspects(Rc::clone(&edge)));
     rt::spawn(watch_targets(Rc::clone(&edge)));
     rt::spawn(probe_paths(Rc::clone(&edge)));
--- a/crates/edge/src/store/announce.rs
+++ b/crates/edge/src/store/announce.rs
@@ -66,7 +66,7 @@
 
 /// Spreads the writes of a whole fleet that starts at once, or notices at once that the store was
 /// restored. Delaying them is safe because the announcements from before are still used.
-pub(super) fn initial_delay(edge: &Edge) -> Duration {
+pub(crate) fn initial_delay(edge: &Edge) -> Duration {
     let fleet = edge.state.borrow().daemons.len();
     let position_permille = hash_parts(&[edge.settings.daemon.as_bytes()]) % 1_000;
     let position_permille = u32::try_from(position_permille).unwrap_or_default();
--- a/crates/edge/src/store/client.rs
+++ b/crates/edge/src/store/client.rs
@@ -6,7 +6,7 @@
 
 use compact_str::CompactString;
 use futures::future::LocalBoxFuture;
-use lapismoor_core::ids::StoreRevision;
+use lapismoor_core::ids::{StoreEra, StoreRevision};
 use lapismoor_core::membership::{DaemonRecord, StoreItem};
 use lapismoor_core::store::{LeaseId, StoreRequest, StoreResult};
 use snafu::Snafu;
@@ -77,6 +77,8 @@
     pub call: Rc<dyn Fn(StoreRequest) -> LocalBoxFuture<'static, StoreResult>>,
     /// Bytes sent to and received from the store so far.
     pub bytes: Rc<Cell<u64>>,
+    /// Latest era that an answer of the store named.
+    pub era: Rc<Cell<StoreEra>>,
     /// Decodes an item; `None` if the daemon does not use its key.
     pub decode: fn(&StoreItem) -> Option<StoreUpdate>,
 }
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -285,6 +285,7 @@
         if copy.era >= revision.era {
             return Cause::Change;
         }
+        edge.store_restored_at.set(Some(edge.now()));
         state.directory.store_restored(edge.now());
         log::warn!(
             source:% = source_name(&self.source),
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -16,7 +16,7 @@
 mod update;
 mod version_marks;
 
-pub(crate) use announce::announce;
+pub(crate) use announce::{announce, initial_delay};
 pub use client::{Changes, Consistency, StoreCall, StoreClient, StoreError};
 pub(crate) use evacuations::sweep as sweep_evacuations;
 pub(crate) use follow::follow;
