Give other requests a turn after few short chunks, end calls that wait for other daemons with the grace

Answers in chunks of one byte, 200 callers, 9 targets: the longest sound request took 32.6 s (calls) and 5.1 s (streams), as a turn was counted in bytes of data only. Both cases are new in lapismoord/tests/memory and failed before.

Calls that wait for the owner of their ticket, or for the same call of another caller, now end when a stopping daemon gives its requests up, with the others.

--- a/crates/edge/src/context.rs
+++ b/crates/edge/src/context.rs
@@ -359,6 +359,21 @@
         Some(since + self.stop_plan().answer_within)
     }
 
+    /// Runs `work` for at most `time_left`, and until requests in flight are given up; `None` if it does not
+    /// end before.
+    pub(crate) async fn in_time<T>(
+        &self,
+        time_left: Duration,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::select! {
+            biased;
+            result = work => Some(result),
+            () = tokio::time::sleep(time_left) => None,
+            () = self.giving_up.cancelled() => None,
+        }
+    }
+
     /// Whether new requests are accepted: before the graceful shutdown, and for a time within it.
     #[must_use]
     pub fn accepts_requests(&self) -> bool {
--- a/crates/edge/src/http/answer.rs
+++ b/crates/edge/src/http/answer.rs
@@ -18,8 +18,10 @@
 /// Buffer size for one read of a body that ends when the connection closes, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
-/// Bytes after which other tasks get a turn, so that long answers don't delay short ones.
+/// Work after which other tasks get a turn, in bytes, so that long answers don't delay short ones.
 const MAX_TURN_BYTES: usize = 64 * 1024;
+/// Work of reading one chunk, however short it is, in bytes of a long one.
+const CHUNK_WORK_BYTES: usize = 2 * 1024;
 
 /// Maximum number of consecutive bytes of a body that delimit its chunks.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
@@ -59,7 +61,7 @@
     source: Source,
     /// Whether a length or chunks tell where the body ends; otherwise the connection ends with it.
     is_delimited: bool,
-    /// Bytes that were read since other tasks got a turn.
+    /// Work since other tasks got a turn.
     turn_bytes: usize,
 }
 
@@ -118,7 +120,7 @@
         }
         let result = self.read().await;
         match &result {
-            Ok(Some(bytes)) => self.turn_bytes += bytes.len(),
+            Ok(Some(bytes)) => self.turn_bytes += bytes.len() + CHUNK_WORK_BYTES,
             Ok(None) => {}
             Err(_) => self.source = Source::Failed,
         }
--- a/crates/edge/src/profiles/idempotency.rs
+++ b/crates/edge/src/profiles/idempotency.rs
@@ -165,8 +165,8 @@
             ended.await;
         }
     };
-    let waited = tokio::time::timeout(request.deadline, waiting).await;
-    waited.unwrap_or_else(|_| Err(Failure::unknown(FailureKind::DeadlinePassed, None)))
+    let waited = edge.in_time(request.deadline, waiting).await;
+    waited.unwrap_or_else(|| Err(Failure::unknown(FailureKind::DeadlinePassed, None)))
 }
 
 fn replay(end: Result<KeptAnswer, Failure>) -> AnswerStream {
--- a/crates/edge/src/profiles/ticket_owner.rs
+++ b/crates/edge/src/profiles/ticket_owner.rs
@@ -43,17 +43,14 @@
         log::warn!(ticket:% = id, peer:% = owner.id, domain:% = owner.domain; "ticket_owner_outside_homes");
         return CallerAnswer::Fail(Failure::unknown(FailureKind::OwnerGone, None));
     }
-    let forwarding = tokio::time::timeout(
-        request.deadline,
-        exchange_with_owner(edge, guard, &owner, original),
-    );
-    match forwarding.await {
-        Ok(Ok(answer)) => CallerAnswer::Relayed(answer),
-        Ok(Err(error)) => {
+    let exchange = exchange_with_owner(edge, guard, &owner, original);
+    match edge.in_time(request.deadline, exchange).await {
+        Some(Ok(answer)) => CallerAnswer::Relayed(answer),
+        Some(Err(error)) => {
             log::warn!(ticket:% = id, peer:% = owner.id, error:%; "ticket_owner_lost");
             owner_gone()
         }
-        Err(_) => {
+        None => {
             log::warn!(ticket:% = id, peer:% = owner.id; "ticket_owner_silent");
             CallerAnswer::Fail(Failure::unknown(FailureKind::DeadlinePassed, None))
         }
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -192,12 +192,7 @@
 
     /// Runs `work` until it ends; `None` if the time that is left passes before.
     pub(crate) async fn in_time<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        tokio::select! {
-            biased;
-            result = work => Some(result),
-            () = tokio::time::sleep(self.time_left()) => None,
-            () = self.edge.giving_up.cancelled() => None,
-        }
+        self.edge.in_time(self.time_left(), work).await
     }
 
     /// Why an attempt ends whose time has passed.
--- a/crates/lapismoord/tests/memory.rs
+++ b/crates/lapismoord/tests/memory.rs
@@ -88,6 +88,10 @@
     (stream_head(request, "s1"), chunk)
 }
 
+fn tiny_chunks(request: &TargetRequest) -> (String, String) {
+    (stream_head(request, "s1"), "1\r\na\r\n".repeat(10_000))
+}
+
 /// Starts the faulty targets on a thread of their own, so that they don't delay the sound one.
 fn start_faulty_targets(endless: Endless, pause: Duration) -> Vec<SocketAddr> {
     let (sender, addresses) = std::sync::mpsc::channel();
@@ -195,6 +199,8 @@
 #[test_case(2, "/once/a", chunks, 3; "chunks")]
 #[test_case(3, "/once/a", until_close, 20; "slowly")]
 #[test_case(4, "/stream/a", chunks, 0; "streams")]
+#[test_case(8, "/once/a", tiny_chunks, 0; "chunks of one byte")]
+#[test_case(9, "/stream/a", tiny_chunks, 0; "streams of one byte")]
 #[actix_web::test]
 async fn endless_answers_stay_within_the_memory(
     number: u8,
