Let large answers of sound targets be finished beside endless ones of their service

A length that is stated is reserved as a whole before the body is read; such a buffer gives way only if it is not filled within 2 s, after those that may be without end. The last eighth of a budget is left to buffers of up to 64 KiB, so that small answers never wait for large ones. Bodies of requests follow the same rules.

--- a/crates/core/src/admission/buffer_budget.rs
+++ b/crates/core/src/admission/buffer_budget.rs
@@ -4,6 +4,8 @@
 //! their answers. Each buffer is bounded, but their sum would exceed the memory of the VM, and all
 //! requests would end with the process. When the budget is used up, the group that holds most gives
 //! way, and the group that holds least is served first, so that the buffers of other services go on.
+//! Buffers whose length was stated get all of it before they are filled, so that those that were begun
+//! can be finished. A part of the budget is left to small buffers.
 
 use std::time::Duration;
 
@@ -13,6 +15,12 @@
 
 /// Time without progress after which a caller that doesn't read loses its answer if memory is short.
 const STALL_TIME: Duration = Duration::from_secs(1);
+/// Time for a buffer whose length was stated to be filled, before it may give way.
+const FILL_TIME: Duration = Duration::from_secs(2);
+/// Size up to which a buffer may use the whole budget, in bytes.
+const SMALL_BYTES: usize = 64 << 10;
+/// Part of the budget that is left to small buffers.
+const SMALL_PART: usize = 8;
 
 /// Identifies a buffer at its budget.
 pub type BufferId = u64;
@@ -27,11 +35,20 @@
         pub member: u64,
     }
 
+    /// Whether it is known how long a buffer gets.
+    #[derive(Copy)]
+    pub enum Growth {
+        /// Its length was stated, so that it ends.
+        Stated,
+        /// It may grow up to the limit of one buffer.
+        Open,
+    }
+
     /// State of a buffer.
     #[derive(Copy)]
     enum BufferState {
-        /// Bytes are still received.
-        Receiving,
+        /// Bytes are received since this time.
+        Receiving(Moment),
         /// All bytes were received; the receiver took some at this time.
         Delivering(Moment),
         /// All bytes were received and are in use.
@@ -44,6 +61,7 @@
     struct Buffer {
         id: BufferId,
         owner: BufferOwner,
+        growth: Growth,
         bytes: usize,
         /// Bytes that it waits for.
         awaited_bytes: usize,
@@ -103,35 +121,40 @@
     }
 
     /// Adds an empty buffer.
-    pub fn open(&mut self, owner: BufferOwner) -> BufferId {
+    pub fn open(&mut self, now: Moment, owner: BufferOwner, growth: Growth) -> BufferId {
         self.last_id += 1;
         self.buffers.push(Buffer {
             id: self.last_id,
             owner,
+            growth,
             bytes: 0,
             awaited_bytes: 0,
-            state: BufferState::Receiving,
+            state: BufferState::Receiving(now),
         });
         self.last_id
     }
 
-    /// Counts `additional_bytes` more of a buffer, if there is room. Otherwise the largest buffer gives way
-    /// of the member, and the group, that hold most.
+    /// Counts `additional_bytes` more of a buffer, if there is room. Otherwise a buffer of the group that holds
+    /// most gives way: one that may be without end first, the largest of the member that holds most.
     pub fn reserve(&mut self, now: Moment, id: BufferId, additional_bytes: usize) -> Reservation {
         let Some(position) = self.position(id) else {
             return Reservation::Refused;
         };
         let own_bytes = self.buffers[position].bytes + additional_bytes;
-        if self.buffers[position].state == BufferState::Evicted || own_bytes > self.limit_bytes {
+        let is_evicted = self.buffers[position].state == BufferState::Evicted;
+        if is_evicted || own_bytes > self.limit_for(own_bytes) {
             return Reservation::Refused;
         }
+        if additional_bytes == 0 {
+            return Reservation::Granted;
+        }
         self.buffers[position].awaited_bytes = additional_bytes;
-        if self.next_waiting() == Some(position) && additional_bytes <= self.free_bytes() {
+        if self.next_waiting() == Some(position) && self.has_room(position) {
             self.grant_to(position);
             return Reservation::Granted;
         }
         let mut evicted = Vec::new();
-        while self.free_bytes() + self.evicted_bytes < additional_bytes {
+        while self.used_bytes - self.evicted_bytes + additional_bytes > self.limit_for(own_bytes) {
             match self.victim(now) {
                 Some(victim) if victim != position => {
                     self.buffers[victim].state = BufferState::Evicted;
@@ -139,11 +162,11 @@
                     self.evicted_bytes += self.buffers[victim].bytes;
                     evicted.push(self.buffers[victim].id);
                 }
-                _ if evicted.is_empty() && self.evicted_bytes == 0 && !self.is_delivering() => {
+                _ if self.evicted_bytes > 0 || self.will_free(position) => break,
+                _ => {
                     self.buffers[position].awaited_bytes = 0;
                     return Reservation::Refused;
                 }
-                _ => break,
             }
         }
         Reservation::Wait { evicted }
@@ -155,7 +178,7 @@
     pub fn grant(&mut self) -> Vec<BufferId> {
         let mut granted = Vec::new();
         while let Some(position) = self.next_waiting() {
-            if self.buffers[position].awaited_bytes > self.free_bytes() {
+            if !self.has_room(position) {
                 break;
             }
             self.grant_to(position);
@@ -232,11 +255,24 @@
         self.used_bytes += granted_bytes;
     }
 
-    fn free_bytes(&self) -> usize {
-        self.limit_bytes - self.used_bytes
+    /// Limit of all buffers together for one that has this size.
+    fn limit_for(&self, bytes: usize) -> usize {
+        if bytes <= SMALL_BYTES {
+            self.limit_bytes
+        } else {
+            self.limit_bytes - self.limit_bytes / SMALL_PART
+        }
+    }
+
+    /// Whether a buffer can get what it waits for.
+    fn has_room(&self, position: usize) -> bool {
+        let buffer = &self.buffers[position];
+        let limit_bytes = self.limit_for(buffer.bytes + buffer.awaited_bytes);
+        self.used_bytes + buffer.awaited_bytes <= limit_bytes
     }
 
-    /// Position of the waiting buffer whose group, and which itself, holds least.
+    /// Position of the waiting buffer that is next: small ones go first, then those of the group that holds
+    /// least, those that end, and those of the member that holds least.
     fn next_waiting(&self) -> Option<usize> {
         let is_waiting = |buffer: &&Buffer| buffer.awaited_bytes > 0;
         self.buffers.iter().find(is_waiting)?;
@@ -245,32 +281,57 @@
                 .iter()
                 .map(|buffer| (&buffer.owner.group, buffer.bytes)),
         );
-        let group_bytes = |buffer: &Buffer| {
-            let mut groups = groups.iter();
-            let own = groups.find(|(group, _)| **group == buffer.owner.group);
-            own.map_or(0, |(_, bytes)| *bytes)
+        let members = sums(
+            self.buffers
+                .iter()
+                .map(|buffer| (&buffer.owner, buffer.bytes)),
+        );
+        let rank = |buffer: &&Buffer| {
+            let is_large = buffer.bytes + buffer.awaited_bytes > SMALL_BYTES;
+            let may_be_endless = buffer.growth == Growth::Open;
+            let group_bytes = sum_of(&groups, &&buffer.owner.group);
+            let member_bytes = sum_of(&members, &&buffer.owner);
+            (
+                is_large,
+                group_bytes,
+                may_be_endless,
+                member_bytes,
+                buffer.bytes,
+            )
         };
-        let waiting = self.buffers.iter().filter(is_waiting);
-        let next = waiting.min_by_key(|buffer| (group_bytes(buffer), buffer.bytes))?;
+        let next = self.buffers.iter().filter(is_waiting).min_by_key(rank)?;
         self.position(next.id)
     }
 
-    fn is_delivering(&self) -> bool {
-        let is_delivering = |buffer: &Buffer| matches!(buffer.state, BufferState::Delivering(_));
-        self.buffers.iter().any(is_delivering)
+    /// Whether others than this buffer are delivered or filled soon.
+    fn will_free(&self, position: usize) -> bool {
+        let will_free = |buffer: &Buffer| match buffer.state {
+            BufferState::Delivering(_) => true,
+            BufferState::Receiving(_) => buffer.growth == Growth::Stated && buffer.bytes > 0,
+            BufferState::Held | BufferState::Evicted => false,
+        };
+        let own = self.buffers[position].id;
+        let mut others = self.buffers.iter().filter(|buffer| buffer.id != own);
+        others.any(will_free)
     }
 
     /// Position of the buffer that gives way next.
     fn victim(&self, now: Moment) -> Option<usize> {
         let may_give_way = |buffer: &&Buffer| match buffer.state {
-            BufferState::Receiving => buffer.bytes > 0,
+            BufferState::Receiving(since) => {
+                let is_late = now.saturating_sub(since) >= FILL_TIME;
+                buffer.bytes > 0 && (buffer.growth == Growth::Open || is_late)
+            }
             BufferState::Delivering(since) => now.saturating_sub(since) >= STALL_TIME,
             BufferState::Held | BufferState::Evicted => false,
         };
         let candidates = || self.buffers.iter().filter(may_give_way);
         let groups = sums(candidates().map(|buffer| (&buffer.owner.group, buffer.bytes)));
         let (group, _) = groups.into_iter().max_by_key(|(_, bytes)| *bytes)?;
-        let members = || candidates().filter(|buffer| buffer.owner.group == *group);
+        let in_group = || candidates().filter(|buffer| buffer.owner.group == *group);
+        let is_any_open = in_group().any(|buffer| buffer.growth == Growth::Open);
+        let members =
+            || in_group().filter(move |buffer| !is_any_open || buffer.growth == Growth::Open);
         let by_member = sums(members().map(|buffer| (buffer.owner.member, buffer.bytes)));
         let (member, _) = by_member.into_iter().max_by_key(|(_, bytes)| *bytes)?;
         let own = members().filter(|buffer| buffer.owner.member == member);
@@ -279,6 +340,12 @@
     }
 }
 
+/// The sum of a key; zero if there is none.
+fn sum_of<K: PartialEq>(sums: &[(K, usize)], key: &K) -> usize {
+    let found = sums.iter().find(|(known, _)| known == key);
+    found.map_or(0, |(_, bytes)| *bytes)
+}
+
 /// The sums of bytes by key.
 fn sums<K: PartialEq>(parts: impl Iterator<Item = (K, usize)>) -> Vec<(K, usize)> {
     let mut sums: Vec<(K, usize)> = Vec::new();
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -19,7 +19,7 @@
 pub mod workspaces;
 
 pub use answer_times::AnswerTimes;
-pub use buffer_budget::{BufferBudget, BufferId, BufferOwner, Reservation};
+pub use buffer_budget::{BufferBudget, BufferId, BufferOwner, Growth, Reservation};
 pub use cost::{Prospect, RequestNeed};
 pub use cost_gate::CostGate;
 pub use flight_limit::{gate_limits, room_limits};
--- a/crates/edge/src/buffers.rs
+++ b/crates/edge/src/buffers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use lapismoor_core::admission::{BufferBudget, BufferId, BufferOwner, Reservation};
+use lapismoor_core::admission::{BufferBudget, BufferId, BufferOwner, Growth, Reservation};
 use lapismoor_core::{Clock, Moment};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -59,8 +59,8 @@
     }
 
     /// Opens an empty buffer.
-    pub(crate) fn open(self: &Rc<Self>, owner: BufferOwner) -> BufferLease {
-        let id = self.budget.borrow_mut().open(owner);
+    pub(crate) fn open(self: &Rc<Self>, owner: BufferOwner, growth: Growth) -> BufferLease {
+        let id = self.budget.borrow_mut().open(self.now(), owner, growth);
         let evicted = CancellationToken::new();
         let for_eviction = evicted.clone();
         let evict: Evict = Rc::new(move || for_eviction.cancel());
@@ -233,6 +233,8 @@
     /// Invariant: all but the last are full.
     segments: VecDeque<Vec<u8>>,
     length_bytes: usize,
+    /// Bytes that are reserved and not in segments yet.
+    reserved_bytes: usize,
 }
 
 impl ReceivedBytes {
@@ -241,9 +243,21 @@
             lease,
             segments: VecDeque::new(),
             length_bytes: 0,
+            reserved_bytes: 0,
         }
     }
 
+    /// Reserves the memory for bytes whose length was stated, so that those that are begun can be received to
+    /// their end.
+    ///
+    /// # Errors
+    /// [`OutOfMemory`] if there is no room.
+    pub(crate) async fn expect(&mut self, length_bytes: usize) -> Result<(), OutOfMemory> {
+        self.lease.reserve(length_bytes).await?;
+        self.reserved_bytes = length_bytes;
+        Ok(())
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.length_bytes
     }
@@ -275,8 +289,15 @@
             if chunk.is_empty() {
                 return Ok(());
             }
-            let segment_bytes = self.length_bytes.clamp(MIN_SEGMENT_BYTES, SEGMENT_BYTES);
-            self.lease.reserve(segment_bytes).await?;
+            let segment_bytes = if self.reserved_bytes > 0 {
+                self.reserved_bytes.min(SEGMENT_BYTES)
+            } else {
+                let segment_bytes = self.length_bytes.clamp(MIN_SEGMENT_BYTES, SEGMENT_BYTES);
+                self.lease.reserve(segment_bytes).await?;
+                self.reserved_bytes = segment_bytes;
+                segment_bytes
+            };
+            self.reserved_bytes -= segment_bytes;
             self.segments.push_back(Vec::with_capacity(segment_bytes));
         }
     }
--- a/crates/edge/src/profiles/gateway.rs
+++ b/crates/edge/src/profiles/gateway.rs
@@ -8,7 +8,7 @@
 use lapismoor_caller::{
     AnswerMemory, AnswerStream, BodyProblem, CallerAnswer, CallerRequest, Gateway,
 };
-use lapismoor_core::admission::{BufferOwner, Refusal};
+use lapismoor_core::admission::{BufferOwner, Growth, Refusal};
 use lapismoor_core::failure::{Failure, FailureKind, NotRunProof};
 use lapismoor_core::ids::WorkspaceId;
 use lapismoor_core::request::{Identity, Request};
@@ -17,7 +17,9 @@
 use super::{idempotency, outcome};
 use crate::context::Edge;
 use crate::in_flight::CallerGuard;
-use crate::serve::{AdmittedRequest, BodyError, Job, read_request_body, report_refused, run};
+use crate::serve::{
+    AdmittedRequest, BodyError, Job, growth, read_request_body, report_refused, run, stated_length,
+};
 
 /// Group of the buffers of profile requests, whose workspace is not known yet.
 const PROFILES: &str = "profiles";
@@ -39,7 +41,8 @@
         is_ready: Rc::new(move || for_ready.is_ready()),
         read_body: Rc::new(move |http_request, payload| {
             let guard = CallerGuard::of(&for_bodies, http_request);
-            read_body(Rc::clone(&for_bodies), guard, payload).boxed_local()
+            let stated_bytes = stated_length(http_request.headers());
+            read_body(Rc::clone(&for_bodies), guard, stated_bytes, payload).boxed_local()
         }),
         open_memory: Rc::new(move || open_memory(&for_memory)),
         submit: Rc::new(move |http_request, caller_request| {
@@ -52,14 +55,12 @@
 async fn read_body(
     edge: Rc<Edge>,
     guard: CallerGuard,
+    stated_bytes: Option<usize>,
     mut payload: Payload,
 ) -> Result<Bytes, BodyProblem> {
     let limit_bytes = edge.settings.callers.max_body_bytes;
-    let lease = edge.request_buffers.open(BufferOwner {
-        group: PROFILES.into(),
-        member: 0,
-    });
-    match read_request_body(&mut payload, limit_bytes, lease).await {
+    let lease = edge.request_buffers.open(owner(), growth(stated_bytes));
+    match read_request_body(&mut payload, stated_bytes, limit_bytes, lease).await {
         Ok((body, lease)) => {
             guard.keep_buffer(lease);
             Ok(body)
@@ -70,12 +71,17 @@
     }
 }
 
-/// Opens the memory for a chat that is sent in one piece.
-fn open_memory(edge: &Edge) -> AnswerMemory {
-    let lease = Rc::new(edge.answer_buffers.open(BufferOwner {
+/// Whose buffers those of profile requests are.
+fn owner() -> BufferOwner {
+    BufferOwner {
         group: PROFILES.into(),
         member: 0,
-    }));
+    }
+}
+
+/// Opens the memory for a chat that is sent in one piece.
+fn open_memory(edge: &Edge) -> AnswerMemory {
+    let lease = Rc::new(edge.answer_buffers.open(owner(), Growth::Open));
     let evicted = lease.evicted();
     AnswerMemory {
         reserve: Box::new(move |bytes| {
--- a/crates/edge/src/profiles/ticket_owner.rs
+++ b/crates/edge/src/profiles/ticket_owner.rs
@@ -5,7 +5,7 @@
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
 use lapismoor_caller::{CallerAnswer, OriginalRequest, RelayedAnswer};
-use lapismoor_core::admission::BufferOwner;
+use lapismoor_core::admission::{BufferOwner, Growth};
 use lapismoor_core::failure::{Failure, FailureKind};
 use lapismoor_core::ids::RequestId;
 use lapismoor_core::membership::DaemonRecord;
@@ -114,7 +114,7 @@
         group: RELAYED.into(),
         member: 0,
     };
-    let mut received = ReceivedBytes::new(edge.answer_buffers.open(owner));
+    let mut received = ReceivedBytes::new(edge.answer_buffers.open(owner, Growth::Open));
     loop {
         let read = received.guard(body.next()).await;
         let Some(bytes) = read.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?? else {
--- a/crates/edge/src/serve/attempt.rs
+++ b/crates/edge/src/serve/attempt.rs
@@ -11,6 +11,7 @@
 use lapismoor_core::routing::pace::rejection_pace;
 use opentelemetry::trace::SpanKind;
 
+use super::body::{growth, stated_length};
 use super::job::{InFlight, Job};
 use super::report;
 use super::request_hash;
@@ -396,11 +397,15 @@
     let too_long = || ExchangeError::Malformed {
         reason: "the body is too long".into(),
     };
-    if stated_length(&answer.head).is_some_and(|bytes| bytes > limit_bytes as u64) {
+    let stated_bytes = stated_length(answer.head.headers());
+    if stated_bytes.is_some_and(|bytes| bytes > limit_bytes) {
         return Err(too_long());
     }
-    let mut received = ReceivedBytes::new(job.open_answer_buffer(answer.target));
+    let growth = growth(stated_bytes);
+    let mut received = ReceivedBytes::new(job.open_answer_buffer(answer.target, growth));
     let reading = async {
+        let expected = received.expect(stated_bytes.unwrap_or_default()).await;
+        expected.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?;
         loop {
             let read = received.guard(answer.body.next()).await;
             let Some(bytes) = read.map_err(|OutOfMemory| ExchangeError::OutOfMemory)?? else {
@@ -417,12 +422,6 @@
     in_time.unwrap_or(Err(ExchangeError::DeadlinePassed))
 }
 
-/// Length of the body that the head states, in bytes.
-fn stated_length(head: &ResponseHead) -> Option<u64> {
-    let value = head.headers().get(header::CONTENT_LENGTH)?;
-    value.to_str().ok()?.trim().parse().ok()
-}
-
 pub(crate) fn clone_head(head: &ResponseHead) -> ResponseHead {
     let mut copy = ResponseHead::new(head.status);
     copy.headers = head.headers.clone();
--- a/crates/edge/src/serve/body.rs
+++ b/crates/edge/src/serve/body.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use actix_http::header::{self, HeaderMap};
 use actix_web::web::Payload;
 use bytes::Bytes;
 use futures::StreamExt;
+use lapismoor_core::admission::Growth;
 use snafu::Snafu;
 
 use crate::buffers::{BufferLease, OutOfMemory, ReceivedBytes};
@@ -33,15 +35,37 @@
     },
 }
 
+/// Length of a body that its headers state, in bytes.
+pub(crate) fn stated_length(headers: &HeaderMap) -> Option<usize> {
+    let value = headers.get(header::CONTENT_LENGTH)?;
+    let bytes: u64 = value.to_str().ok()?.trim().parse().ok()?;
+    Some(usize::try_from(bytes).unwrap_or(usize::MAX))
+}
+
+/// How a body grows whose headers may state its length.
+pub(crate) fn growth(stated_bytes: Option<usize>) -> Growth {
+    match stated_bytes {
+        Some(_) => Growth::Stated,
+        None => Growth::Open,
+    }
+}
+
 /// Reads a body of at most `limit_bytes` into memory that is counted. The lease is to be kept while the
 /// body is in use.
 pub(crate) async fn read(
     payload: &mut Payload,
+    stated_bytes: Option<usize>,
     limit_bytes: usize,
     lease: BufferLease,
 ) -> Result<(Bytes, BufferLease), BodyError> {
+    if stated_bytes.is_some_and(|bytes| bytes > limit_bytes) {
+        return Err(BodyError::TooLong { limit_bytes });
+    }
     let mut received = ReceivedBytes::new(lease);
-    let result = receive(payload, limit_bytes, &mut received).await;
+    let result = match received.expect(stated_bytes.unwrap_or_default()).await {
+        Ok(()) => receive(payload, limit_bytes, &mut received).await,
+        Err(OutOfMemory) => Err(BodyError::NoMemory),
+    };
     match result {
         Ok(()) => Ok(received.into_held()),
         Err(error) => {
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -7,7 +7,9 @@
 use lapismoor_core::Moment;
 use lapismoor_core::admission::gate::max_wait;
 use lapismoor_core::admission::suspects::followed_parts;
-use lapismoor_core::admission::{Belief, BufferOwner, Priority, Refusal, RequestNeed, SuspectKind};
+use lapismoor_core::admission::{
+    Belief, BufferOwner, Growth, Priority, Refusal, RequestNeed, SuspectKind,
+};
 use lapismoor_core::ids::{Fingerprint, ServiceId, StreamKey, TargetKey, hash_parts, stream_key};
 use lapismoor_core::membership::{Directory, KnownTarget, TargetIncarnation};
 use lapismoor_core::retry::{
@@ -176,11 +178,12 @@
     }
 
     /// Opens a buffer for an answer of a target.
-    pub(crate) fn open_answer_buffer(&self, target: TargetKey) -> BufferLease {
-        self.edge.answer_buffers.open(BufferOwner {
+    pub(crate) fn open_answer_buffer(&self, target: TargetKey, growth: Growth) -> BufferLease {
+        let owner = BufferOwner {
             group: self.request.service.clone(),
             member: target,
-        })
+        };
+        self.edge.answer_buffers.open(owner, growth)
     }
 
     /// Time until the deadline, or until this daemon, which is shutting down, gives its requests up.
--- a/crates/edge/src/serve/mod.rs
+++ b/crates/edge/src/serve/mod.rs
@@ -27,7 +27,7 @@
 use crate::in_flight::CallerGuard;
 pub(crate) use admitted_request::{AdmittedRequest, end_to_end_headers};
 pub(crate) use attempt::BufferedAnswer;
-pub(crate) use body::{BodyError, read as read_request_body};
+pub(crate) use body::{BodyError, growth, read as read_request_body, stated_length};
 pub(crate) use job::Job;
 pub(crate) use report::refused as report_refused;
 pub(crate) use route_key::RouteKey;
@@ -71,8 +71,10 @@
             .unwrap_or_default(),
         member: 0,
     };
-    let lease = edge.request_buffers.open(owner);
-    let body = match body::read(&mut payload, limit_bytes, lease).await {
+    let stated_bytes = body::stated_length(request.headers());
+    let growth = body::growth(stated_bytes);
+    let lease = edge.request_buffers.open(owner, growth);
+    let body = match body::read(&mut payload, stated_bytes, limit_bytes, lease).await {
         Ok((body, lease)) => {
             guard.keep_buffer(lease);
             body
--- a/crates/edge/src/serve/stream_forwarder.rs
+++ b/crates/edge/src/serve/stream_forwarder.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures::Stream;
 use lapismoor_core::Moment;
+use lapismoor_core::admission::Growth;
 use lapismoor_core::retry::{MAX_SOUND_SILENCE, NextStep};
 use lapismoor_core::routing::Choice;
 use lapismoor_core::stream::EventSplitter;
@@ -90,7 +91,7 @@
         job.is_streaming = true;
         let splitter = EventSplitter::resumed_after(job.request.envelope.last_event);
         let memory = StreamMemory {
-            lease: job.open_answer_buffer(answer.target),
+            lease: job.open_answer_buffer(answer.target, Growth::Open),
             counted_bytes: 0,
         };
         Self {
--- a/crates/lapismoord/tests/memory.rs
+++ b/crates/lapismoord/tests/memory.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,6 +20,10 @@
 
 const FAULTY_TARGETS: usize = 9;
 const CALLERS: usize = 200;
+/// Sound targets of the service that has faulty ones, and the length of their answers.
+const SOUND_TARGETS: usize = 4;
+const SOUND_BYTES: usize = 3 << 20;
+const LARGE_CALLERS: usize = 60;
 /// Interval between the requests for the sound service.
 const SOUND_INTERVAL: Duration = Duration::from_millis(40);
 /// Answers that callers don't read, in bytes.
@@ -226,6 +230,69 @@
     sound.check(&daemon).await;
 }
 
+/// Guards against large answers of sound targets that are lost, or shortened, because other targets of their
+/// service send without end: each request that a sound target got is answered whole.
+#[test_case(10, until_close; "until close")]
+#[test_case(11, chunks; "chunks")]
+#[actix_web::test]
+async fn large_answers_are_whole_beside_endless_ones(number: u8, endless: Endless) {
+    let store = Store::start();
+    store.put("op/config", &config(65_536));
+    let faulty = start_faulty_targets(endless, Duration::from_millis(1));
+    for (number, address) in faulty.into_iter().enumerate() {
+        register(&store, "pool", number, address);
+    }
+    let mut sound = Vec::new();
+    for number in 0..SOUND_TARGETS {
+        let large = |request: &TargetRequest| {
+            let body = "e".repeat(SOUND_BYTES);
+            vec![Action::Send(plain_answer(request, 200, &body))]
+        };
+        let target = Target::start(large).await;
+        register(&store, "pool", FAULTY_TARGETS + number, target.address());
+        sound.push(target);
+    }
+    register(&store, "desk", 0, start_sound().await.address());
+    let daemon = start_daemon(&store, number).await;
+    let beside = SoundCaller::start(&daemon);
+    let whole = Rc::new(RefCell::new(Vec::new()));
+    let callers: Vec<_> = (0..LARGE_CALLERS)
+        .map(|number| rt::spawn(call_for_large(daemon.caller(), number, Rc::clone(&whole))))
+        .collect();
+    for caller in callers {
+        caller.await.expect("a caller");
+    }
+    beside.check(&daemon).await;
+    let mut reached: Vec<String> = sound
+        .iter()
+        .flat_map(Target::requests)
+        .filter_map(|request| request.header("lapismoor-request-id").map(str::to_owned))
+        .collect();
+    let mut whole = whole.take();
+    println!("{} large answers of {}", whole.len(), reached.len());
+    reached.sort();
+    whole.sort();
+    assert!(!reached.is_empty());
+    assert_eq!(whole, reached);
+}
+
+/// Calls for large answers for the time of a deadline, and notes the requests with whole ones.
+async fn call_for_large(caller: Caller, number: usize, whole: Rc<RefCell<Vec<String>>>) {
+    let started_at = Instant::now();
+    let mut calls = 0;
+    while started_at.elapsed() < Duration::from_millis(DEADLINE_MS) {
+        let id = format!("r-{number}-{calls}");
+        let answer = caller
+            .call("POST", "/once/a", &id, "Content-Length: 0\r\n")
+            .await;
+        if answer.status() == 200 {
+            assert_eq!(answer.body().len(), SOUND_BYTES);
+            whole.borrow_mut().push(id);
+        }
+        calls += 1;
+    }
+}
+
 /// Guards against answers that are ready and fill the memory because their callers don't read them.
 #[actix_web::test]
 async fn answers_that_are_not_read_stay_within_the_memory() {
