Tell calls under an idempotency key apart by method and path

Cause: the fingerprint held workspace and body. It holds method, path and query too; such a call gets 400, as one with another body does. ids::fingerprint, unused now, is removed.

--- a/crates/caller/tests/http.rs
+++ b/crates/caller/tests/http.rs
@@ -321,6 +321,29 @@
     );
 }
 
+/// Guards against a call that gets the kept answer of another one, because its idempotency key was used with
+/// the same body for another path, query or method.
+#[test_case(Method::POST, "rooms/1/open", true; "the same call")]
+#[test_case(Method::POST, "rooms/2/open", false; "another path")]
+#[test_case(Method::POST, "rooms/1/open?all=1", false; "another query")]
+#[test_case(Method::PUT, "rooms/1/open", false; "another method")]
+fn calls_are_told_apart_by_method_and_path(method: Method, path: &str, expected: bool) {
+    let fingerprint = |method, path: &str| {
+        let request = TestRequest::default()
+            .method(method)
+            .uri(&format!("/v1/services/map-lookup/{path}"))
+            .insert_header(("authorization", KEY))
+            .set_payload("body");
+        let (_, submitted) = send(vec![head("text/plain"), end()], request);
+        let [CallerRequest::Request { request, .. }] = submitted.as_slice() else {
+            panic!("expected one submitted request")
+        };
+        request.fingerprint()
+    };
+    let kept = fingerprint(Method::POST, "rooms/1/open");
+    assert_eq!(fingerprint(method, path) == kept, expected);
+}
+
 /// Guards against a chat that runs again after its answer was lost although its stream may not be continued
 /// at another target.
 #[test_case(true; "replayable")]
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -106,12 +106,6 @@
     hash_parts(&[workspace.as_bytes(), chat.as_bytes()])
 }
 
-/// Hashes a workspace and a request body, so that equal bodies of two workspaces differ.
-#[must_use]
-pub fn fingerprint(workspace: &str, body: &[u8]) -> Fingerprint {
-    hash_parts(&[workspace.as_bytes(), body])
-}
-
 /// Hashes a software version. Targets that announce none have the same one.
 #[must_use]
 pub fn version_hash(version: &str) -> VersionHash {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -101,9 +101,18 @@
 }
 
 impl Request {
-    /// Hash of workspace and body.
+    /// Hash of workspace, operation and body, by which repeats of a request are told from others.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
-        ids::fingerprint(&self.workspace, &self.body)
+        let (method, path) = match &self.work {
+            Work::Chat { .. } => ("", ""),
+            Work::Call { method, path } => (method.as_str(), path.as_str()),
+        };
+        ids::hash_parts(&[
+            self.workspace.as_bytes(),
+            method.as_bytes(),
+            path.as_bytes(),
+            &self.body,
+        ])
     }
 }
