Send no request late in the grace period whose answer could not arrive

Callers saw: queued requests passed on after the time for new ones and cut (2 of 4 in a test), a repeatable request sent again 1.3 s before the end, a new one taken although answers take longer than the rest. All got 504, and might have run.

Before a request is sent, or sent again or to another target, a stopping daemon asks StopPlan::send_within: the usual time of the route's answers must be left. Otherwise it is 503, not run, for those that have not run, at once also from the queue, so that callers go to another daemon; 504 for the others.

--- a/crates/core/src/admission/stop_plan.rs
+++ b/crates/core/src/admission/stop_plan.rs
@@ -51,6 +51,15 @@
         StopPhase::Draining
     }
 
+    /// Latest time after the start of the shutdown at which a request may be sent to a target. One that would be
+    /// given up before its answer is refused instead, as long as it has not run: other daemons have more
+    /// time. `expected` is the usual time of its answers, if it is known.
+    #[must_use]
+    pub fn send_within(&self, expected: Option<Duration>) -> Duration {
+        self.answer_within
+            .saturating_sub(expected.unwrap_or_default())
+    }
+
     /// Whether a new request is still accepted at `now`.
     #[must_use]
     pub fn accepts_requests(&self, now: Moment, started_at: Moment) -> bool {
--- a/crates/core/tests/stop_plan.rs
+++ b/crates/core/tests/stop_plan.rs
@@ -42,3 +42,18 @@
     let actual = plan().accepts_requests(started_at + Duration::from_millis(5_690), started_at);
     assert!(!actual, "the exit would interrupt its stream");
 }
+
+/// Guards against requests that are passed on late in the grace period and then cut off: those in the queue, and
+/// repeats of others.
+#[test_case(None, 7_200; "no answer is known")]
+#[test_case(Some(100), 7_100; "quick answers")]
+#[test_case(Some(3_000), 4_200; "slow answers")]
+#[test_case(Some(6_000), 1_200; "answers that take most of the grace")]
+#[test_case(Some(60_000), 0; "answers that take longer than the grace")]
+fn request_is_sent_only_while_its_answer_can_arrive(expected_ms: Option<u64>, within_ms: u64) {
+    let expected = expected_ms.map(Duration::from_millis);
+    assert_eq!(
+        plan().send_within(expected),
+        Duration::from_millis(within_ms)
+    );
+}
--- a/crates/edge/src/serve/job.rs
+++ b/crates/edge/src/serve/job.rs
@@ -34,7 +34,7 @@
 /// Cause of an attempt whose answer was not complete at the deadline.
 pub(super) const TIME_UP: &str = "time_up";
 /// Cause of an attempt that was given up because the daemon exits.
-const GIVEN_UP_AT_EXIT: &str = "given_up_at_exit";
+pub(super) const GIVEN_UP_AT_EXIT: &str = "given_up_at_exit";
 /// Least time before the deadline with which another attempt is made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Least time before the deadline with which another target can be expected to answer instead of
@@ -164,7 +164,7 @@
         let permit = tokio::select! {
             biased;
             permit = permit => permit?,
-            () = edge.giving_up.cancelled() => return Err(Refusal::Stopping),
+            () = self.latest_send() => return Err(Refusal::Stopping),
         };
         self.permit = Some(permit);
         self.queue_wait = edge.now().saturating_sub(started_at);
@@ -172,6 +172,32 @@
         Ok(())
     }
 
+    /// Time at which the request can no longer be sent, as this daemon is shutting down; `None` as long as it
+    /// is not.
+    fn send_until(&self) -> Option<Moment> {
+        let stop_began = self.edge.stopping_since.get()?;
+        let expected = {
+            let state = self.edge.state.borrow();
+            let route = &self.request.route;
+            let expected = state.answer_times.expected(&route.name, self.work());
+            expected.map(|expected| expected.usual_time)
+        };
+        Some(stop_began + self.edge.stop_plan().send_within(expected))
+    }
+
+    /// Whether this daemon shuts down before an answer can be expected.
+    pub(crate) fn is_too_late_to_send(&self) -> bool {
+        let now = self.edge.now();
+        self.send_until().is_some_and(|latest| now >= latest)
+    }
+
+    /// Waits until the request can no longer be sent.
+    async fn latest_send(&self) {
+        self.edge.stopping.cancelled().await;
+        let latest = self.send_until().unwrap_or_default();
+        tokio::time::sleep(latest.saturating_sub(self.edge.now())).await;
+    }
+
     /// Work of the request in units that are comparable within a route: tokens of the prompt.
     pub(crate) fn work(&self) -> u32 {
         work(&self.request)
@@ -395,7 +421,7 @@
     pub(crate) fn choose_replacement(&self, silent_since: Moment) -> Result<Choice, Obstacle> {
         let request = OverdueRequest {
             counts: self.progress.get(),
-            has_time: self.time_left() >= MIN_REPLACEMENT_TIME,
+            has_time: self.time_left() >= MIN_REPLACEMENT_TIME && !self.is_too_late_to_send(),
             is_suspected: self.trial_after_runs.is_some() || self.has_crashed_targets(),
             has_retry: self.edge.retries_left(&self.request.service) > 0,
         };
--- a/crates/edge/src/serve/run.rs
+++ b/crates/edge/src/serve/run.rs
@@ -11,7 +11,7 @@
 use actix_http::ResponseHead;
 
 use super::attempt::{self, Answer, BufferedAnswer, FailedAttempt};
-use super::job::{Job, TIME_UP};
+use super::job::{GIVEN_UP_AT_EXIT, Job, TIME_UP};
 use super::report;
 use super::resumption::bind_to_origin;
 use super::stream_forwarder::StreamForwarder;
@@ -87,6 +87,7 @@
             return refuse_suspect(&job, banned_for, last_failure);
         }
         let choice = match job.choose_target(job.limit_wait_end()).await {
+            Ok(_) if job.is_too_late_to_send() => return too_late(&job, last_failure),
             Ok(choice) => choice,
             Err(reason) => return no_target(&job, &reason, last_failure),
         };
@@ -138,6 +139,14 @@
     }
 }
 
+/// Ends a request that is not sent, or not sent again, as this daemon shuts down before its answer.
+fn too_late(job: &Job, last_failure: Option<BufferedAnswer>) -> Outcome {
+    if job.progress.get().runs > 0 {
+        return give_up(job, &NextStep::FailUnknown, GIVEN_UP_AT_EXIT, last_failure);
+    }
+    refuse(job, Refusal::Stopping)
+}
+
 fn refuse(job: &Job, refusal: Refusal) -> Outcome {
     report::job_refused(job, &refusal);
     Outcome::Refused(refusal)
--- a/crates/lapismoord/tests/common/mod.rs
+++ b/crates/lapismoord/tests/common/mod.rs
@@ -29,9 +29,13 @@
 /// Held by the running test: the tests measure how fast a daemon answers, each with hundreds of callers.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
+/// Waits until no other test runs.
+pub async fn turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().await
+}
+
 /// The daemon, killed when dropped.
 pub struct Daemon {
-    _turn: MutexGuard<'static, ()>,
     process: Child,
     settings: PathBuf,
     address: SocketAddr,
@@ -64,7 +68,6 @@
     /// # Panics
     /// When the daemon does not start.
     pub async fn start(site: Site) -> Self {
-        let turn = ONE_AT_A_TIME.lock().await;
         let Site {
             store,
             number,
@@ -97,7 +100,6 @@
         }
         wait_until_ready(ready).await;
         Self {
-            _turn: turn,
             process,
             settings,
             address: format!("{ip}:8227").parse().expect("an address"),
--- a/crates/lapismoord/tests/memory.rs
+++ b/crates/lapismoord/tests/memory.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use actix_web::rt;
-use common::{DEADLINE_MS, Daemon, MEMORY_MB, Site};
+use common::{DEADLINE_MS, Daemon, MEMORY_MB, Site, turn};
 use lapismoor_adapter_standin::{
     Action, Caller, Store, Target, TargetRequest, plain_answer, read_answer, stream_head,
     target_entry,
@@ -212,6 +212,7 @@
     endless: Endless,
     pause_ms: u64,
 ) {
+    let _turn = turn().await;
     let store = Store::start();
     store.put("op/config", &config(65_536));
     let faulty = start_faulty_targets(endless, Duration::from_millis(pause_ms));
@@ -236,6 +237,7 @@
 #[test_case(11, chunks; "chunks")]
 #[actix_web::test]
 async fn large_answers_are_whole_beside_endless_ones(number: u8, endless: Endless) {
+    let _turn = turn().await;
     let store = Store::start();
     store.put("op/config", &config(65_536));
     let faulty = start_faulty_targets(endless, Duration::from_millis(1));
@@ -296,6 +298,7 @@
 /// Guards against answers that are ready and fill the memory because their callers don't read them.
 #[actix_web::test]
 async fn answers_that_are_not_read_stay_within_the_memory() {
+    let _turn = turn().await;
     let store = Store::start();
     store.put("op/config", &config(65_536));
     let large = Target::start(|request| {
@@ -339,6 +342,7 @@
 #[test_case(7, true; "not finished")]
 #[actix_web::test]
 async fn large_requests_stay_within_the_memory(number: u8, is_stalled: bool) {
+    let _turn = turn().await;
     let body_bytes = 4 << 20;
     let store = Store::start();
     store.put("op/config", &config(8 << 20));
