Say what a daemon lacked and quote its log when a fleet does not become ready

The message could not tell apart a daemon that ended, one that is not healthy, and one that lacks a target, and the logs of the fleet are gone with the machine that ran it. The error now names what is missing, with the state of each target that is not in use, and quotes the last lines of the daemon's log.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -19,6 +19,8 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval at which readiness is polled.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of log lines that an error of a daemon quotes.
+const LAST_LOG_LINES: usize = 20;
 /// Concurrent requests that the stand-in of a target advertises as its capacity.
 const TARGET_SLOTS: u32 = 64;
 
@@ -324,11 +326,18 @@
     /// If a daemon is not ready within 30 seconds.
     pub async fn wait_until_ready(&self) -> io::Result<()> {
         let deadline = Instant::now() + READY_TIMEOUT;
-        let targets = self.engines.len() + self.services.len();
         for daemon in &self.daemons {
-            while !is_ready_with_targets(daemon, targets).await {
+            loop {
+                let missing = self.missing_for_readiness(daemon).await;
+                if missing.is_empty() {
+                    break;
+                }
                 if Instant::now() > deadline {
-                    let message = format!("{} did not become ready in time", daemon.name);
+                    let log = self.last_log_lines(&daemon.name);
+                    let message = format!(
+                        "{} did not become ready in time: {missing:?}; its log ends with\n{log}",
+                        daemon.name
+                    );
                     return Err(io::Error::other(message));
                 }
                 tokio::time::sleep(READY_POLL_INTERVAL).await;
@@ -337,6 +346,33 @@
         Ok(())
     }
 
+    /// What a daemon still lacks to be ready with all targets in use; empty if nothing.
+    async fn missing_for_readiness(&self, daemon: &DaemonProcess) -> Vec<String> {
+        if !is_ready(daemon.caller_address).await {
+            return vec!["it is not healthy for the load balancer".into()];
+        }
+        let Some(status) = status(daemon.operator_address).await else {
+            return vec!["it reports no status".into()];
+        };
+        let targets = self.engines.iter().chain(&self.services);
+        let missing = targets.filter_map(|target| {
+            let known = status.targets.iter().find(|known| known.id == target.name);
+            match known {
+                Some(known) if known.is_in_use() => None,
+                Some(known) => Some(format!("{known:?}")),
+                None => Some(format!("{} is not known", target.name)),
+            }
+        });
+        missing.collect()
+    }
+
+    fn last_log_lines(&self, name: &str) -> String {
+        let log = std::fs::read_to_string(self.directory.join(format!("{name}.log")));
+        let log = log.unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(LAST_LOG_LINES)..].join("\n")
+    }
+
     /// Fetches the status of all daemons in order; `None` for each that does not respond.
     pub async fn statuses(&self) -> Vec<Option<Status>> {
         let requests = self
@@ -368,18 +404,6 @@
     }
 }
 
-async fn is_ready_with_targets(daemon: &DaemonProcess, targets: usize) -> bool {
-    if !is_ready(daemon.caller_address).await {
-        return false;
-    }
-    let status = status(daemon.operator_address).await;
-    let count = status.map_or(0, |status| {
-        let in_use = status.targets.iter().filter(|target| target.is_in_use());
-        in_use.count()
-    });
-    count >= targets
-}
-
 fn target_role(
     size: &FleetSize,
     is_engine: bool,
