Start no process while a port is probed, so that fleets get ports that are free

Hypotheses: (1) the daemon could not bind: a child of another test that is being started holds the socket with which its port was probed, until its program is executed; (2) the daemon never learned of a target (its first list, or a change right after it, lost); (3) the start takes longer than 30 s beside load.

Ports are now probed, and children started, under one lock: the call that starts a child returns when its program is executed, so no child can hold a probe.

Not a fault of the daemon: ports of deployments are configured, not probed.

--- a/crates/demo/src/process.rs
+++ b/crates/demo/src/process.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -31,12 +32,16 @@
     pub fn start(program: &Path, role: &Role, log: &Path) -> io::Result<Self> {
         let role = serde_json::to_string(role)?;
         let log = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .args([ROLE_ARGUMENT, &role])
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        let child = {
+            let _started_alone = lock_sockets();
+            command.spawn()?
+        };
         Ok(Self {
             child,
             is_finished: false,
@@ -103,9 +108,16 @@
 /// Number of ports that this process has tried.
 static PORTS_TRIED: AtomicU32 = AtomicU32::new(0);
 
-/// Binds a listener to a free loopback port. An address that is only probed can still be in use
-/// when it is bound again: a child process that is being started holds the sockets of its parent
-/// until its program is executed.
+/// Held while a child process is started and while ports are probed. A child holds the sockets of its
+/// parent until its program is executed, so that a port probed meanwhile would still be in use when its
+/// own process binds it.
+static SOCKETS: Mutex<()> = Mutex::new(());
+
+fn lock_sockets() -> MutexGuard<'static, ()> {
+    SOCKETS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Binds a listener to a free loopback port, for a server in this process.
 ///
 /// # Errors
 /// If no port is free.
@@ -119,11 +131,13 @@
 }
 
 /// Returns `count` free loopback addresses, different from each other and from those of earlier
-/// calls in this process until all 20,000 ports have been tried.
+/// calls in this process until all 20,000 ports have been tried. They can be bound at once if this
+/// process starts its children by [`Process::start`] only.
 ///
 /// # Errors
 /// If there are not enough free ports.
 pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let _probed_alone = lock_sockets();
     let mut addresses = Vec::with_capacity(count);
     for _ in 0..PORT_COUNT {
         if addresses.len() == count {
