Reserve ranges of ports for each program that starts fleets

Programs began at different ports by process id and counted on, into each other's.

Ruled out: the daemon's own earlier process (it had ended), ephemeral ports (from 32,768), a child that holds a probe (each restart found another port in use).

--- a/crates/demo/tests/ports.rs
+++ b/crates/demo/tests/ports.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 
-use demo::process::{free_addresses, free_listener};
+use demo::process::{PortRanges, free_addresses, free_listener};
 
 /// Two fleets of one process must not get the same port, and none an ephemeral port, which an
 /// outgoing connection can take before the port is bound.
@@ -41,3 +41,35 @@
     }
     spawner.join().expect("no panic");
 }
+
+/// Guards against a daemon that can't listen again after a restart, as another program gave its port to a
+/// process of its own meanwhile.
+#[test]
+fn programs_at_the_same_time_have_different_ports() {
+    let mut programs = [PortRanges::new(), PortRanges::new(), PortRanges::new()];
+    let mut ports = Vec::new();
+    for _ in 0..600 {
+        for program in &mut programs {
+            ports.push(program.next_address().expect("a range").port());
+        }
+    }
+    let count = ports.len();
+    ports.sort_unstable();
+    ports.dedup();
+    assert_eq!(ports.len(), count);
+}
+
+/// Guards against a program that leaves no range to others, or none to itself.
+#[test]
+fn program_starts_over_in_its_own_ranges() {
+    let mut program = PortRanges::new();
+    let mut ports = Vec::new();
+    for _ in 0..5_000 {
+        ports.push(program.next_address().expect("a range").port());
+    }
+    let mut different = ports.clone();
+    different.sort_unstable();
+    different.dedup();
+    assert_eq!(different.len(), 9 * 249);
+    assert_eq!(ports[..9 * 249], ports[9 * 249..2 * 9 * 249]);
+}
