--- a/crates/core/src/config/in_force.rs
+++ b/crates/core/src/config/in_force.rs
@@ -51,7 +51,10 @@
     }
 
     /// Puts a configuration in force if it has a greater version than the current one, or if it is known to
-    /// be `later` than that although its version is not greater.
+    /// be later than that although its version is not greater.
+    ///
+    /// # Panics
+    /// If the version does not increase and the configuration is not later, which the check before prevents.
     pub fn offer_if(
         &mut self,
         version: u64,
