Check a drain in the soak only until its engine is started again

The drain is in the memory of the engine's process, so that the new one takes requests. The case is allowed: the target that the check counts is not drained.

--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use lapismoor_adapter_standin::{Faults, Registration};
 use lapismoor_core::config::{Change, ChangeOutcome, ChangeStep, Config};
@@ -50,6 +50,8 @@
     pub role: Role,
     /// The running, or last, process of the target.
     pub process: Process,
+    /// When processes of the target were started, oldest first.
+    pub started_at: Vec<SystemTime>,
 }
 
 impl TargetProcess {
@@ -181,6 +183,7 @@
             let role = target_role(size, is_engine, address, &records_path, registration);
             let target = TargetProcess {
                 process: self.spawn(&name, &role)?,
+                started_at: vec![SystemTime::now()],
                 name,
                 address,
                 records_path,
@@ -260,6 +263,7 @@
         let role = self.engines[index].role.clone();
         let name = self.engines[index].name.clone();
         self.engines[index].process = self.spawn(&name, &role)?;
+        self.engines[index].started_at.push(SystemTime::now());
         Ok(())
     }
 
@@ -283,6 +287,7 @@
         let role = self.services[index].role.clone();
         let name = self.services[index].name.clone();
         self.services[index].process = self.spawn(&name, &role)?;
+        self.services[index].started_at.push(SystemTime::now());
         Ok(())
     }
 
--- a/crates/soak/src/processes/mod.rs
+++ b/crates/soak/src/processes/mod.rs
@@ -15,4 +15,4 @@
 pub use plan::{Fault, FaultPlan, FaultStep, TargetRange};
 pub use proxy::{Mode, Proxies};
 pub use run::{Additions, Outcome, ProcessCounts, run};
-pub use verify::lost_attempts;
+pub use verify::{drained_time, lost_attempts};
--- a/crates/soak/src/processes/verify.rs
+++ b/crates/soak/src/processes/verify.rs
@@ -1,7 +1,7 @@
 //! Checks a run against the reports of callers and the records of targets.
 
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use demo::caller::RequestReport;
 use demo::checker::{OutcomeCounts, TargetRecords, at_most_once_violations};
@@ -162,6 +162,20 @@
     steps.iter().filter(overlaps).count() == 1
 }
 
+/// The time in which a target that is told to drain at `told_at` must not get requests. A target that ends
+/// meanwhile, as by a request that ends engines, is started again as one that takes requests.
+#[must_use]
+pub fn drained_time(
+    told_at: SystemTime,
+    duration: Duration,
+    started_at: &[SystemTime],
+) -> (SystemTime, SystemTime) {
+    let mut later_starts = started_at.iter().filter(|start| **start > told_at);
+    let end = told_at + duration;
+    let until = later_starts.next().map_or(end, |start| end.min(*start));
+    (told_at + DRAIN_WITHIN, until)
+}
+
 fn late_requests(
     fleet: &Fleet,
     engine: usize,
@@ -170,8 +184,9 @@
 ) -> io::Result<Option<String>> {
     let target = &fleet.engines[engine];
     let records = TargetRecords::read(&target.name, &target.records_path, None)?;
-    let from_ms = run_start_unix_ms + millis(step.at + DRAIN_WITHIN);
-    let until_ms = run_start_unix_ms + millis(step.at + step.duration);
+    let run_start = UNIX_EPOCH + Duration::from_millis(run_start_unix_ms);
+    let (from, until) = drained_time(run_start + step.at, step.duration, &target.started_at);
+    let (from_ms, until_ms) = (unix_ms(from), unix_ms(until));
     let is_late = |time_ms: u64| (from_ms..until_ms).contains(&time_ms);
     let late = records
         .records
@@ -184,3 +199,7 @@
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
+
+fn unix_ms(time: SystemTime) -> u64 {
+    millis(time.duration_since(UNIX_EPOCH).unwrap_or_default())
+}
